--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demonstration."""
--- /dev/null
+++ b/oleanderroute/declaration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' declaration: model, checks, storage form and differences."""
--- /dev/null
+++ b/oleanderroute/events.py
@@ -0,0 +1,74 @@
+"""Numbered log events. ``docs/events.md`` lists them; a test compares the two."""
+
+from dataclasses import dataclass
+
+from eliot import log_message
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log record.
+
+    Attributes
+    ----------
+    number : int
+        Stable number; it is never given to another event.
+    name : str
+        Message type in the log.
+    meaning : str
+        One sentence for the catalogue.
+    """
+
+    number: int
+    name: str
+    meaning: str
+
+    def log(self, **fields):
+        """Write one record with ``fields``."""
+        log_message(message_type=self.name, event=self.number, **fields)
+
+
+CATALOGUE = {}
+
+
+def define(number, name, meaning):
+    """Add an event to the catalogue.
+
+    Raises
+    ------
+    ValueError
+        If the number is taken.
+    """
+    if number in CATALOGUE:
+        raise ValueError(f"event {number} is already {CATALOGUE[number].name}")
+    event = Event(number, f"oleander:{name}", meaning)
+    CATALOGUE[number] = event
+    return event
+
+
+# 100-199: process life cycle
+DAEMON_STARTED = define(100, "daemon_started", "The daemon listens on all ports.")
+DAEMON_DRAINING = define(
+    101, "daemon_draining", "A stop was requested; readiness now fails."
+)
+DAEMON_STOPPED = define(102, "daemon_stopped", "The daemon ended its last request.")
+TASK_FAILED = define(103, "task_failed", "A task ended with an error; it is restarted.")
+
+# 200-299: configuration
+REVISION_IN_FORCE = define(
+    200, "revision_in_force", "A new revision of the declaration is in force."
+)
+REVISION_REFUSED = define(
+    201, "revision_refused", "A stored declaration could not be loaded; it is ignored."
+)
+STORE_UNAVAILABLE = define(
+    202, "store_unavailable", "The key-value service did not answer."
+)
+STORE_BACK = define(203, "store_back", "The key-value service answers again.")
+HOST_LIST_CHANGED = define(204, "host_list_changed", "A new host list was received.")
+
+# 300-399: peers
+PEER_MESSAGE_DROPPED = define(
+    300, "peer_message_dropped", "A peer message was malformed or not acceptable."
+)
+PEER_UNREACHABLE = define(301, "peer_unreachable", "A peer did not answer.")
--- /dev/null
+++ b/oleanderroute/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Resources of the operator port and the burn report."""
--- /dev/null
+++ b/oleanderroute/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts of the fleet."""
--- /dev/null
+++ b/oleanderroute/peer/client.py
@@ -0,0 +1,211 @@
+"""Sends requests to other hosts over connections opened on demand."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass
+
+from .. import events
+from ..errors import MessageRejected, PeerTimeout, PeerUnreachable
+from ..ids import FailureDomain, HostId
+from .codec import (
+    FRAME_LENGTH,
+    MAX_FRAME_BYTES,
+    body_kind,
+    check_header,
+    decode_reply,
+    encode_frame,
+)
+from .gen.oleander_messages.ttypes import PeerRequest, RequestBody
+
+DEFAULT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+# Connections unused for this long are closed; a host talks to a few peers often
+# and to most of them seldom.
+IDLE_CLOSE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a peer listens."""
+
+    host_id: HostId
+    address: str
+    port: int
+    failure_domain: FailureDomain
+
+
+class PeerConnection(asyncio.Protocol):
+    """One connection to a peer; matches replies to requests by id."""
+
+    def __init__(self, client, peer):
+        self.client = client
+        self.peer = peer
+        self.transport = None
+        self.buffer = bytearray()
+        self.waiting = {}
+        self.used_at = 0.0
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self.transport = transport
+
+    def data_received(self, data):
+        """Split the stream into frames."""
+        self.buffer += data
+        while len(self.buffer) >= FRAME_LENGTH.size:
+            (length,) = FRAME_LENGTH.unpack_from(self.buffer)
+            if length > MAX_FRAME_BYTES:
+                self.client.drop("oversized frame", self.peer)
+                self.transport.abort()
+                return
+            end = FRAME_LENGTH.size + length
+            if len(self.buffer) < end:
+                return
+            frame = bytes(self.buffer[FRAME_LENGTH.size : end])
+            del self.buffer[:end]
+            self.reply_received(frame)
+
+    def reply_received(self, frame):
+        """Resolve the request that a reply belongs to."""
+        try:
+            reply = decode_reply(frame)
+            check_header(reply.header, self.client.fleet)
+            _, value = body_kind(reply.body)
+        except MessageRejected as error:
+            self.client.drop(str(error), self.peer)
+            return
+        if self.client.link_filter.drops_incoming(reply.header.failure_domain):
+            return
+        self.client.on_header(reply.header)
+        future = self.waiting.pop(reply.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    def connection_lost(self, error):
+        """Fail every request that still waits."""
+        self.client.forget(self)
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerUnreachable(f"{self.peer.host_id}: {error}"))
+        self.waiting.clear()
+
+
+class PeerClient:
+    """Requests to any peer, over at most one connection each.
+
+    Parameters
+    ----------
+    fleet : str
+    make_header : callable
+        Returns the ``Header`` of a request.
+    on_header : callable
+        Told the header of each accepted reply.
+    link_filter : LinkFilter
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(self, fleet, make_header, on_header, link_filter, clock, metrics):
+        self.fleet = fleet
+        self.make_header = make_header
+        self.on_header = on_header
+        self.link_filter = link_filter
+        self.clock = clock
+        self.metrics = metrics
+        self.connections = {}
+        self.opening = {}
+        self.request_ids = itertools.count(1)
+
+    async def request(self, peer, kind, value, timeout_s=DEFAULT_TIMEOUT_S):
+        """Send one request and return the body of its reply.
+
+        Parameters
+        ----------
+        peer : PeerAddress
+        kind : str
+            Field name of ``RequestBody``.
+        value : object
+            The thrift structure of that kind.
+        timeout_s : float
+            Seconds to wait for the reply, connecting included.
+
+        Raises
+        ------
+        PeerTimeout, PeerUnreachable
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self.connect(peer)
+                return await self.send(connection, kind, value)
+        except TimeoutError as error:
+            raise PeerTimeout(f"{peer.host_id}: no reply in {timeout_s} s") from error
+        except OSError as error:
+            raise PeerUnreachable(f"{peer.host_id}: {error}") from error
+
+    async def send(self, connection, kind, value):
+        """Write one request and wait for its reply."""
+        request_id = next(self.request_ids)
+        request = PeerRequest(
+            request_id=request_id,
+            header=self.make_header(),
+            body=RequestBody(**{kind: value}),
+        )
+        future = asyncio.get_running_loop().create_future()
+        connection.waiting[request_id] = future
+        connection.used_at = self.clock.now()
+        if not self.link_filter.drops_outgoing(connection.peer.failure_domain):
+            frame = encode_frame(request)
+            self.metrics.peer_bytes_sent.add({"kind": kind}, len(frame))
+            connection.transport.write(frame)
+        try:
+            return await future
+        finally:
+            connection.waiting.pop(request_id, None)
+
+    async def connect(self, peer):
+        """Return the open connection to ``peer``, opening it if there is none."""
+        connection = self.connections.get(peer)
+        if connection is not None:
+            return connection
+        task = self.opening.get(peer)
+        if task is None:
+            task = asyncio.ensure_future(self.open(peer))
+            self.opening[peer] = task
+            task.add_done_callback(lambda done: self.opening.pop(peer, None))
+        return await asyncio.shield(task)
+
+    async def open(self, peer):
+        """Open a connection within ``CONNECT_TIMEOUT_S``."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: PeerConnection(self, peer), peer.address, peer.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachable(f"{peer.host_id}: {error}") from error
+        self.connections[peer] = connection
+        return connection
+
+    def forget(self, connection):
+        """Remove a closed connection."""
+        if self.connections.get(connection.peer) is connection:
+            del self.connections[connection.peer]
+
+    def close_idle(self):
+        """Close the connections that were not used for ``IDLE_CLOSE_S`` seconds."""
+        oldest = self.clock.now() - IDLE_CLOSE_S
+        for connection in list(self.connections.values()):
+            if connection.waiting or connection.used_at > oldest:
+                continue
+            connection.transport.close()
+
+    def drop(self, reason, peer):
+        """Count and log a reply that is ignored."""
+        self.metrics.peer_messages_dropped.inc({"reason": reason.split(":")[0]})
+        events.PEER_MESSAGE_DROPPED.log(reason=reason, source=peer.host_id)
+
+    async def close(self):
+        """Close every connection."""
+        for connection in list(self.connections.values()):
+            connection.transport.abort()
--- /dev/null
+++ b/oleanderroute/peer/codec.py
@@ -0,0 +1,137 @@
+"""Encoding of messages between hosts: framed thrift compact protocol."""
+
+import struct
+from dataclasses import dataclass
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+from ..errors import MessageRejected
+from ..ids import FailureDomain, HostId, Incarnation, Region
+from .gen.oleander_messages.ttypes import Header, PeerReply, PeerRequest
+
+PROTOCOL_VERSION = 2
+# A rolling upgrade has hosts of neighbouring versions side by side.
+ACCEPTED_VERSIONS = frozenset(
+    {PROTOCOL_VERSION - 1, PROTOCOL_VERSION, PROTOCOL_VERSION + 1}
+)
+# A chunk of the declaration is at most 512 KiB; the rest is room for headers.
+MAX_FRAME_BYTES = 1024 * 1024
+MAX_STRING_BYTES = MAX_FRAME_BYTES
+MAX_CONTAINER_ITEMS = 100_000
+FRAME_LENGTH = struct.Struct("!I")
+
+PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_STRING_BYTES,
+    container_length_limit=MAX_CONTAINER_ITEMS,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """What a host says of itself in each message.
+
+    Attributes
+    ----------
+    incarnation : int
+        Random number drawn at process start; it tells a restarted host from the
+        one before it.
+    """
+
+    fleet: str
+    host_id: HostId
+    incarnation: Incarnation
+    failure_domain: FailureDomain
+    region: Region
+
+
+def encode_frame(message):
+    """Return ``message`` as one length-prefixed frame.
+
+    Raises
+    ------
+    MessageRejected
+        If the frame would exceed ``MAX_FRAME_BYTES``.
+    """
+    transport = TMemoryBuffer()
+    message.write(PROTOCOL_FACTORY.getProtocol(transport))
+    body = transport.getvalue()
+    if len(body) > MAX_FRAME_BYTES:
+        raise MessageRejected(f"frame of {len(body)} bytes exceeds {MAX_FRAME_BYTES}")
+    return FRAME_LENGTH.pack(len(body)) + body
+
+
+def decode_request(body):
+    """Decode a frame body into a checked ``PeerRequest``.
+
+    Raises
+    ------
+    MessageRejected
+        If the bytes are not a complete request.
+    """
+    return _decode(PeerRequest(), body)
+
+
+def decode_reply(body):
+    """Decode a frame body into a checked ``PeerReply``.
+
+    Raises
+    ------
+    MessageRejected
+        If the bytes are not a complete reply.
+    """
+    return _decode(PeerReply(), body)
+
+
+def _decode(message, body):
+    try:
+        message.read(PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(body)))
+        message.validate()
+        message.header.validate()
+    except Exception as error:
+        # The accelerated codec raises plain Python errors on malformed bytes.
+        raise MessageRejected(f"malformed message: {error!r}") from error
+    return message
+
+
+def check_header(header, fleet):
+    """Refuse messages of other fleets and of versions too far apart.
+
+    Raises
+    ------
+    MessageRejected
+    """
+    if header.protocol_version not in ACCEPTED_VERSIONS:
+        raise MessageRejected(f"protocol version {header.protocol_version}")
+    if header.fleet != fleet:
+        raise MessageRejected("message of another fleet")
+
+
+def body_kind(body):
+    """Return the name and value of the one field that a message body carries.
+
+    Raises
+    ------
+    MessageRejected
+        If none is set, as with a kind that only a newer version knows.
+    """
+    for name in body.__slots__:
+        value = getattr(body, name)
+        if value is not None:
+            return name, value
+    raise MessageRejected("message of unknown kind")
+
+
+def make_header(identity, revision, host_list_version, uptime_s):
+    """Build the header that opens each message."""
+    return Header(
+        protocol_version=PROTOCOL_VERSION,
+        host_id=identity.host_id,
+        incarnation=identity.incarnation,
+        failure_domain=identity.failure_domain,
+        region=identity.region,
+        revision=revision,
+        host_list_version=host_list_version,
+        uptime_s=uptime_s,
+        fleet=identity.fleet,
+    )
--- /dev/null
+++ b/oleanderroute/peer/server.py
@@ -0,0 +1,157 @@
+"""Accepts connections of other hosts and answers their requests."""
+
+import asyncio
+import inspect
+from ipaddress import ip_address, ip_network
+
+from .. import events
+from ..errors import MessageRejected
+from .codec import (
+    FRAME_LENGTH,
+    MAX_FRAME_BYTES,
+    body_kind,
+    check_header,
+    decode_request,
+    encode_frame,
+)
+from .gen.oleander_messages.ttypes import PeerReply, ReplyBody
+
+# A peer that sends no request for this long is disconnected; it reconnects on
+# demand.
+IDLE_CLOSE_S = 120.0
+
+
+class PeerServer:
+    """Listens for other hosts and passes each request to the task that owns it.
+
+    Parameters
+    ----------
+    fleet : str
+    make_header : callable
+        Returns the ``Header`` of a reply.
+    on_header : callable
+        Told the header of each accepted request.
+    link_filter : LinkFilter
+    allowed_networks : list of str
+        Networks, in CIDR form, that may connect.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self, fleet, make_header, on_header, link_filter, allowed_networks, metrics
+    ):
+        self.fleet = fleet
+        self.make_header = make_header
+        self.on_header = on_header
+        self.link_filter = link_filter
+        self.allowed = [ip_network(network) for network in allowed_networks]
+        self.metrics = metrics
+        self.handlers = {}
+        self.connections = set()
+        self.server = None
+
+    def register(self, kind, handler):
+        """Route requests of ``kind`` to ``handler``.
+
+        Parameters
+        ----------
+        kind : str
+            Field name of ``RequestBody``.
+        handler : callable
+            Takes the request body and its header and returns, directly or as an
+            awaitable, the field name and value of the ``ReplyBody``.
+        """
+        self.handlers[kind] = handler
+
+    async def start(self, address, port):
+        """Open the listening socket."""
+        self.server = await asyncio.start_server(self.serve, address, port)
+
+    async def close(self):
+        """Close the listener and every connection."""
+        self.server.close()
+        for task in list(self.connections):
+            task.cancel()
+        await asyncio.gather(*self.connections, return_exceptions=True)
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection until it ends."""
+        task = asyncio.current_task()
+        self.connections.add(task)
+        try:
+            if self.is_allowed(writer):
+                await self.answer_requests(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        except asyncio.CancelledError:
+            # Ending quietly keeps asyncio's stream callback from logging a stop.
+            pass
+        finally:
+            self.connections.discard(task)
+            writer.close()
+
+    def is_allowed(self, writer):
+        """Tell whether the remote address may talk to this port."""
+        address = ip_address(writer.get_extra_info("peername")[0])
+        for network in self.allowed:
+            if address in network:
+                return True
+        self.drop("address not allowed", str(address))
+        return False
+
+    def drop(self, reason, source):
+        """Count and log a message that is not answered."""
+        self.metrics.peer_messages_dropped.inc({"reason": reason.split(":")[0]})
+        events.PEER_MESSAGE_DROPPED.log(reason=reason, source=source)
+
+    async def answer_requests(self, reader, writer):
+        """Read frames one after another; each is answered in its own task."""
+        source = str(writer.get_extra_info("peername"))
+        async with asyncio.TaskGroup() as group:
+            while True:
+                async with asyncio.timeout(IDLE_CLOSE_S):
+                    prefix = await reader.readexactly(FRAME_LENGTH.size)
+                    (length,) = FRAME_LENGTH.unpack(prefix)
+                    if length > MAX_FRAME_BYTES:
+                        self.drop("oversized frame", source)
+                        return
+                    body = await reader.readexactly(length)
+                try:
+                    request = decode_request(body)
+                    check_header(request.header, self.fleet)
+                    kind, value = body_kind(request.body)
+                    handler = self.handlers[kind]
+                except MessageRejected as error:
+                    self.drop(str(error), source)
+                    continue
+                except KeyError:
+                    self.drop("no handler for the kind of message", source)
+                    continue
+                if self.link_filter.drops_incoming(request.header.failure_domain):
+                    continue
+                self.on_header(request.header)
+                result = handler(value, request.header)
+                if inspect.isawaitable(result):
+                    group.create_task(self.reply_later(writer, request, result))
+                    continue
+                self.reply(writer, request, result)
+
+    async def reply_later(self, writer, request, awaitable):
+        """Send a reply once its handler has finished."""
+        self.reply(writer, request, await awaitable)
+
+    def reply(self, writer, request, result):
+        """Send one reply unless the link to the requester is cut."""
+        if result is None:
+            return
+        if self.link_filter.drops_outgoing(request.header.failure_domain):
+            return
+        name, value = result
+        reply = PeerReply(
+            request_id=request.request_id,
+            header=self.make_header(),
+            body=ReplyBody(**{name: value}),
+        )
+        frame = encode_frame(reply)
+        self.metrics.peer_bytes_sent.add({"kind": name}, len(frame))
+        writer.write(frame)
--- /dev/null
+++ b/oleanderroute/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Long-running tasks of the daemon."""
