--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -86,6 +86,8 @@
   6: optional map<string, string> headers
   // Seconds since the claim was granted; set when claims are handed over.
   7: optional double age_s
+  // Lets a holder without the claim record a completion as well.
+  8: optional string fingerprint
 }
 
 struct ClaimHandover {
--- /dev/null
+++ b/oleanderroute/entry/pipeline.py
@@ -0,0 +1,322 @@
+"""Takes one request of a caller through the decisions to an answer."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ..decisions.claims import DecisionKind, RecordedAnswer
+from ..decisions.fingerprint import (
+    claim_fingerprint,
+    claim_key,
+    crash_fingerprint,
+)
+from ..errors import CallerDisconnected
+from ..ids import ServiceName, Workspace
+from ..outcome import CallerOutcome
+from .attempts import AttemptRunner
+from .context import BUFFERED_BODY_BYTES, RequestContext
+from .messages import BodyTooLarge, CallerAnswer, read_head
+from .refusals import RefusalReason, refuse
+from .route_table import RouteTable
+
+KEY_HEADER = b"idempotency-key"
+WORKSPACE_HEADER = b"oleander-workspace"
+DEADLINE_HEADER = b"oleander-deadline-ms"
+RECORDED_REASON = "recorded"
+# The two answers of a claim round that a holder's own clock or table caused.
+CLAIM_REFUSALS = {
+    DecisionKind.HELD: RefusalReason.CLAIM_HELD,
+    DecisionKind.KEY_REUSED: RefusalReason.KEY_REUSED,
+    DecisionKind.KEY_EXPIRED: RefusalReason.KEY_TOO_OLD,
+    DecisionKind.UNKNOWN: RefusalReason.CLAIM_UNAVAILABLE,
+    DecisionKind.NOT_RUN: RefusalReason.CLAIM_UNAVAILABLE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ServingView:
+    """One revision of the declaration in the form that requests need.
+
+    Attributes
+    ----------
+    entries : dict
+        Service name to ``ServiceEntry``.
+    """
+
+    routes: RouteTable
+    entries: dict[ServiceName, object]
+    revision: int
+
+
+@dataclass(slots=True)
+class CallerHeaders:
+    """The request headers that steer the pipeline."""
+
+    key: str | None = None
+    workspace: str | None = None
+    deadline_ms: str | None = None
+
+
+def read_caller_headers(headers):
+    """Pick the headers that steer the pipeline."""
+    found = CallerHeaders()
+    for name, value in headers:
+        if name == KEY_HEADER:
+            found.key = value.decode("latin-1")
+        elif name == WORKSPACE_HEADER:
+            found.workspace = value.decode("latin-1")
+        elif name == DEADLINE_HEADER:
+            found.deadline_ms = value.decode("latin-1")
+    return found
+
+
+class Pipeline:
+    """Serves requests under the declaration in force.
+
+    Parameters
+    ----------
+    pool : TargetPool
+    claims : ClaimClient
+    quarantine : Quarantine
+    attempt_runner : AttemptRunner
+    fallbacks : callable
+        Returns the ``ServiceEntry`` that serves a route now.
+    clock : Clock
+    metrics : Metrics
+    burn : BurnLedger
+    """
+
+    def __init__(self, claims, quarantine, attempt_runner, clock, metrics, burn):
+        self.claims = claims
+        self.quarantine = quarantine
+        self.attempt_runner: AttemptRunner = attempt_runner
+        self.clock = clock
+        self.metrics = metrics
+        self.burn = burn
+        self.view = None
+        self.in_flight = 0
+        self.background = set()
+
+    def set_view(self, view):
+        """Serve new requests under another revision; running ones keep theirs."""
+        self.view = view
+
+    async def handle(self, request):
+        """Answer one request.
+
+        Parameters
+        ----------
+        request : CallerRequest
+
+        Returns
+        -------
+        CallerAnswer
+        """
+        self.in_flight += 1
+        try:
+            return await self.serve(request)
+        except BodyTooLarge:
+            return self.refuse_early(request, RefusalReason.BODY_TOO_LARGE)
+        finally:
+            self.in_flight -= 1
+
+    async def serve(self, request):
+        """Find the route, read the body's head and run the request."""
+        view = self.view
+        if view is None:
+            return self.refuse_early(request, RefusalReason.NOT_CONFIGURED)
+        headers = read_caller_headers(request.headers)
+        match = view.routes.match(request.method, request.path, headers.workspace)
+        route = match.route
+        if route is None:
+            return self.refuse_early(request, RefusalReason(match.miss.value))
+        deadline_s = self.deadline_s(route, headers.deadline_ms)
+        if deadline_s is None:
+            return self.refuse_early(request, RefusalReason.BAD_DEADLINE)
+        context = RequestContext(
+            request=request,
+            route=route,
+            entry=view.entries[route.service],
+            workspace=Workspace(headers.workspace or ""),
+            deadline_at=request.received_at + deadline_s,
+            idempotency_key=headers.key,
+        )
+        request.body.limit(route.max_body_bytes)
+        if request.body.length != 0:
+            context.head = await read_head(request.body, BUFFERED_BODY_BYTES)
+        answer = await self.run_shielded(context)
+        self.account(context, answer)
+        return answer
+
+    def deadline_s(self, route, text):
+        """Return the seconds that a request may take, or None for a bad header."""
+        if text is None:
+            return route.deadline_ms / 1000
+        if not text.isascii() or not text.isdecimal() or int(text) == 0:
+            return None
+        return min(route.deadline_ms, int(text)) / 1000
+
+    async def run_shielded(self, context):
+        """Run a request; one with a claim goes on when its caller goes away.
+
+        Its answer is then recorded for the caller's resend.
+        """
+        if not context.needs_claim:
+            return await self.run(context)
+        task = asyncio.ensure_future(self.run(context))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        return await asyncio.shield(task)
+
+    async def run(self, context):
+        """Check quarantine and claim, then try targets."""
+        request = context.request
+        context.fingerprint = crash_fingerprint(
+            request.method,
+            request.path,
+            context.workspace,
+            context.idempotency_key,
+            context.head.content,
+        )
+        if self.quarantine.is_refused(context.fingerprint, self.clock.now()):
+            return self.refuse(context, RefusalReason.CRASH_QUARANTINE)
+        if context.needs_claim:
+            settled = await self.acquire_claim(context)
+            if settled is not None:
+                return settled
+        answer = await self.run_claimed(context)
+        if context.claim is not None:
+            self.settle_claim(context, answer)
+        return answer
+
+    async def run_claimed(self, context):
+        """Try targets; an unexpected failure is answered, never dropped."""
+        try:
+            return await self.attempt_runner.run(context)
+        except CallerDisconnected:
+            return self.refuse(context, RefusalReason.BODY_INCOMPLETE)
+
+    async def acquire_claim(self, context):
+        """Claim the key of a request.
+
+        Returns
+        -------
+        CallerAnswer or None
+            The answer when the request must not run, None when it may.
+        """
+        request = context.request
+        key = claim_key(
+            context.workspace, context.route.route_id, context.idempotency_key
+        )
+        fingerprint = claim_fingerprint(
+            request.method,
+            request.path,
+            context.workspace,
+            request.body.length,
+            context.head.content,
+        )
+        time_budget_s = context.deadline_at - self.clock.now()
+        handle = await self.claims.claim(key, fingerprint, time_budget_s)
+        kind = handle.decision.kind
+        if kind is DecisionKind.GRANTED:
+            context.claim = handle
+            return None
+        if kind is DecisionKind.COMPLETED:
+            return self.replay(handle.decision.answer)
+        reason = CLAIM_REFUSALS[kind]
+        outcome = CallerOutcome.UNKNOWN
+        if kind is DecisionKind.NOT_RUN:
+            outcome = CallerOutcome.NOT_RUN
+        return refuse(reason, outcome)
+
+    def replay(self, recorded):
+        """Answer a resend from the recorded answer of its first run."""
+        status = str(recorded.status).encode()
+        marker = (b"oleander-recorded-status", status)
+        if recorded.body is None:
+            answer = refuse(RefusalReason.ALREADY_RUN, CallerOutcome.ANSWERED)
+            answer.headers.append(marker)
+            return answer
+        headers = []
+        for name, value in recorded.headers.items():
+            headers.append((name.encode("latin-1"), value.encode("latin-1")))
+        headers.append(marker)
+        return CallerAnswer(
+            status=recorded.status,
+            headers=headers,
+            body=recorded.body,
+            outcome=CallerOutcome.ANSWERED,
+            reason=RECORDED_REASON,
+        )
+
+    def settle_claim(self, context, answer):
+        """Record or give up the claim, as the outcome allows.
+
+        After an unknown outcome the claim stays, so that a resend can't run.
+        """
+        if answer.outcome is CallerOutcome.NOT_RUN:
+            self.claims.release(context.claim)
+            return
+        if answer.outcome is CallerOutcome.UNKNOWN:
+            return
+        body = answer.body if isinstance(answer.body, bytes) else None
+        headers = {}
+        for name, value in answer.headers:
+            headers[name.decode("latin-1")] = value.decode("latin-1")
+        self.claims.complete(
+            context.claim, RecordedAnswer(answer.status, headers, body)
+        )
+
+    def refuse(self, context, reason):
+        """Refuse a request; "not run" is said only where it is proven."""
+        return refuse(reason, refusal_outcome(context))
+
+    def refuse_early(self, request, reason):
+        """Refuse a request that has no context yet.
+
+        An earlier request under the same key may have run, so a request with a key
+        is never told "not run" without a claim.
+        """
+        outcome = CallerOutcome.NOT_RUN
+        for name, _ in request.headers:
+            if name == KEY_HEADER:
+                outcome = CallerOutcome.UNKNOWN
+        self.metrics.requests.inc(
+            {
+                "service": "",
+                "class": "",
+                "outcome": outcome.value,
+                "reason": reason.value,
+            }
+        )
+        return refuse(reason, outcome)
+
+    def account(self, context, answer):
+        """Count a finished request."""
+        labels = {
+            "service": context.route.service,
+            "class": context.route.request_class.name.lower(),
+            "outcome": answer.outcome.value,
+            "reason": answer.reason,
+        }
+        self.metrics.requests.inc(labels)
+        elapsed_s = self.clock.now() - context.request.received_at
+        self.burn.record(context, answer, elapsed_s)
+
+    async def close(self):
+        """Wait for claimed requests that outlived their callers."""
+        if self.background:
+            await asyncio.wait(self.background)
+
+
+def refusal_outcome(context):
+    """Return what a refused caller may be told.
+
+    Parameters
+    ----------
+    context : RequestContext
+    """
+    if context.may_have_run:
+        return CallerOutcome.UNKNOWN
+    if context.needs_claim and context.claim is None:
+        return CallerOutcome.UNKNOWN
+    return CallerOutcome.NOT_RUN
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -1225,6 +1225,7 @@
      - body
      - headers
      - age_s
+     - fingerprint
 
     """
 
@@ -1236,10 +1237,11 @@
         'body',
         'headers',
         'age_s',
+        'fingerprint',
     )
 
 
-    def __init__(self, key=None, owner=None, state=None, status=None, body=None, headers=None, age_s=None,):
+    def __init__(self, key=None, owner=None, state=None, status=None, body=None, headers=None, age_s=None, fingerprint=None,):
         self.key = key
         self.owner = owner
         self.state = state
@@ -1247,6 +1249,7 @@
         self.body = body
         self.headers = headers
         self.age_s = age_s
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1298,6 +1301,11 @@
                     self.age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1340,6 +1348,10 @@
             oprot.writeFieldBegin('age_s', TType.DOUBLE, 7)
             oprot.writeDouble(self.age_s)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 8)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2965,6 +2977,7 @@
     (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
     (6, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.DOUBLE, 'age_s', None, None, ),  # 7
+    (8, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 8
 )
 all_structs.append(ClaimHandover)
 ClaimHandover.thrift_spec = (
--- /dev/null
+++ b/oleanderroute/tasks/base.py
@@ -0,0 +1,36 @@
+"""Base class of the daemon's long-running tasks and their supervision."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from .. import events
+
+# Pause before a failed task is started again, so that a permanent fault does not
+# spin.
+RESTART_DELAY_S = 1.0
+
+
+class DaemonTask(ABC):
+    """A unit of work that owns its state and runs as long as the daemon."""
+
+    name = "task"
+
+    @abstractmethod
+    async def run(self):
+        """Work until cancelled."""
+
+
+async def supervise(task):
+    """Run ``task`` and start it again after a failure.
+
+    Parameters
+    ----------
+    task : DaemonTask
+    """
+    while True:
+        try:
+            await task.run()
+            return
+        except Exception as error:
+            events.TASK_FAILED.log(task=task.name, error=repr(error))
+        await asyncio.sleep(RESTART_DELAY_S)
