--- /dev/null
+++ b/oleanderroute/decisions/ranking.py
@@ -0,0 +1,68 @@
+"""Rendezvous hashing: each host ranks all hosts for a key in the same order.
+
+When a host joins or leaves, only the keys that it ranks first for, or ranked
+first for, move.
+"""
+
+from hashlib import blake2b
+
+SCORE_BYTES = 8
+
+
+def scores(key, host_ids):
+    """Return the score of each host for ``key``.
+
+    Parameters
+    ----------
+    key : str
+    host_ids : iterable of HostId
+
+    Returns
+    -------
+    scored : list of tuple of (bytes, HostId)
+    """
+    # The length prefix keeps ("ab", "c") and ("a", "bc") apart.
+    encoded = key.encode()
+    prefix = blake2b(len(encoded).to_bytes(4) + encoded, digest_size=SCORE_BYTES)
+    scored = []
+    for host_id in host_ids:
+        state = prefix.copy()
+        state.update(host_id.encode())
+        scored.append((state.digest(), host_id))
+    return scored
+
+
+def rank(key, host_ids):
+    """Return all hosts in descending order of their score for ``key``.
+
+    The order does not depend on the order of ``host_ids``.
+    """
+    ordered = sorted(scores(key, host_ids), reverse=True)
+    return [host_id for _, host_id in ordered]
+
+
+def rank_distinct_domains(key, hosts, count):
+    """Return the first-ranked hosts that lie in distinct failure domains.
+
+    Parameters
+    ----------
+    key : str
+    hosts : iterable
+        Objects with ``host_id`` and ``failure_domain``.
+    count : int
+        Number of hosts wanted.
+
+    Returns
+    -------
+    chosen : list
+        At most ``count`` of the objects, best first; fewer if there are fewer
+        failure domains.
+    """
+    by_id = {host.host_id: host for host in hosts}
+    best = {}
+    for scored in scores(key, by_id):
+        domain = by_id[scored[1]].failure_domain
+        if domain not in best or scored > best[domain]:
+            best[domain] = scored
+    ordered = sorted(best.values(), reverse=True)[:count]
+    return [by_id[host_id] for _, host_id in ordered]
--- a/oleanderroute/declaration/model.py
+++ b/oleanderroute/declaration/model.py
@@ -89,6 +89,10 @@
 class Route:
     """A rule that sends matching requests to a service.
 
+    The order of routes has no meaning. Of the routes that match a request, an exact
+    path comes before a prefix, a longer prefix before a shorter one, and a workspace
+    group before ``"*"``; the checks leave no two routes of equal rank.
+
     Attributes
     ----------
     path : str
