--- a/oleanderroute/declaration/document.py
+++ b/oleanderroute/declaration/document.py
@@ -22,7 +22,8 @@
     """Build the model from a document whose shape is valid."""
     services = {}
     for name, value in sorted(document["services"].items()):
-        services[name] = service_from_document(name, value, value.get("targets", ()))
+        targets = [target_from_document(target) for target in value.get("targets", ())]
+        services[name] = service_from_document(name, value, targets)
     routes = [route_from_document(value) for value in document["routes"]]
     groups = {}
     for name, workspaces in sorted(document.get("workspace_groups", {}).items()):
@@ -39,13 +40,12 @@
 
 
 def service_from_document(name, value, targets):
-    """Build a service; ``targets`` are documents of its targets."""
+    """Build a service with the targets given."""
     objective = value["objective"]
-    built = [target_from_document(target) for target in targets]
     return Service(
         name=name,
         region=value["region"],
-        targets=tuple(sorted(built, key=lambda target: target.target_id)),
+        targets=tuple(sorted(targets, key=lambda target: target.target_id)),
         slots_per_target=value["slots_per_target"],
         connections_per_target=value["connections_per_target"],
         floor_slots=value["floor_slots"],
--- a/oleanderroute/declaration/loader.py
+++ b/oleanderroute/declaration/loader.py
@@ -15,6 +15,7 @@
     check_services,
     check_targets,
 )
+from .chunks import Change, split_declaration
 from .cycles import check_cycles
 from .document import declaration_from_document, dump
 from .problems import problem_at, shape_reason
@@ -30,6 +31,10 @@
     check_cycles,
 )
 SCHEMA = json.loads(files(__package__).joinpath("schema.json").read_text())
+# Limit of one value of the platform's key-value service.
+MAX_VALUE_BYTES = 1_000_000
+# Room for the author, the message and the nonce of a revision.
+CHANGE_ALLOWANCE_BYTES = 16 * 1024
 VALIDATOR = Draft202012Validator(SCHEMA)
 
 
@@ -48,13 +53,15 @@
             seen.add(key)
 
 
-def load_declaration(text):
+def load_declaration(text, max_value_bytes=MAX_VALUE_BYTES):
     """Check the text of a declaration and build the model.
 
     Parameters
     ----------
     text : str
         JSON, as ``schema.json`` describes it.
+    max_value_bytes : int
+        Largest manifest that the store takes.
 
     Returns
     -------
@@ -70,7 +77,21 @@
     problems = check_document(document)
     if problems:
         return Err(DeclarationError(tuple(problems)))
-    return Ok(declaration_from_document(document))
+    declaration = declaration_from_document(document)
+    problems = check_manifest_size(declaration, max_value_bytes)
+    if problems:
+        return Err(DeclarationError(tuple(problems)))
+    return Ok(declaration)
+
+
+def check_manifest_size(declaration, max_value_bytes):
+    """Compare the size of the manifest with the store's limit."""
+    manifest, _ = split_declaration(declaration, Change())
+    size = len(manifest.encode()) + CHANGE_ALLOWANCE_BYTES
+    if size <= max_value_bytes:
+        return []
+    reason = f"the manifest has {size} bytes, the store takes {max_value_bytes}"
+    return [problem_at((), reason)]
 
 
 def check_document(document):
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -66,6 +66,27 @@
 )
 STORE_BACK = define(203, "store_back", "The key-value service answers again.")
 HOST_LIST_CHANGED = define(204, "host_list_changed", "A new host list was received.")
+HISTORY_NOT_RECORDED = define(
+    205,
+    "history_not_recorded",
+    "A revision was accepted, but its history entry could not be written.",
+)
+OLDER_HEAD_IGNORED = define(
+    206,
+    "older_head_ignored",
+    "The store showed an older revision than the one in force; it is ignored.",
+)
+HEAD_DIVERGED = define(
+    207,
+    "head_diverged",
+    "The store showed other content under the revision in force; it is ignored.",
+)
+PEER_FETCH_FAILED = define(
+    208, "peer_fetch_failed", "A newer revision or host list was not got from a peer."
+)
+HOST_LIST_REFUSED = define(
+    209, "host_list_refused", "A host list was malformed; it is ignored."
+)
 
 # 300-399: peers
 PEER_MESSAGE_DROPPED = define(
--- /dev/null
+++ b/oleanderroute/platform/publish.py
@@ -0,0 +1,402 @@
+"""Brings a declaration into the store: chunks first, then the head by one swap."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+from .. import events
+from ..declaration.assembly import Assembler
+from ..declaration.chunks import Change, Manifest, decode_manifest, split_declaration
+from ..declaration.difference import compare
+from ..declaration.model import Declaration
+from ..errors import (
+    ChunkError,
+    OleanderError,
+    StoreConflict,
+    StoreUnavailable,
+)
+from ..ids import Revision
+
+HEAD_KEY = "head"
+CHUNK_PREFIX = "chunk/"
+HISTORY_PREFIX = "history/"
+NONCE_BYTES = 16
+# Time after which an apply stops trying to learn whether it took effect.
+DEFAULT_TIME_LIMIT_S = 20.0
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+
+
+class ApplyConflict(OleanderError):
+    """Another operator changed the declaration since the base revision.
+
+    Attributes
+    ----------
+    base_revision, head_revision : int
+    differences : tuple of Difference
+        From the base to what the store holds now.
+    """
+
+    def __init__(self, base_revision, head_revision, differences):
+        super().__init__(
+            f"based on revision {base_revision}, "
+            f"but the store holds revision {head_revision}"
+        )
+        self.base_revision = base_revision
+        self.head_revision = head_revision
+        self.differences = differences
+
+
+class ApplyUnknown(OleanderError):
+    """The answer to the swap was lost and the store could not be asked in time.
+
+    Attributes
+    ----------
+    revision : int
+        The revision that may be in force.
+    nonce : str
+        Names this apply; a manifest that carries it shows that it took effect.
+    """
+
+    def __init__(self, revision, nonce):
+        super().__init__(f"revision {revision} may or may not be in force")
+        self.revision = revision
+        self.nonce = nonce
+
+
+class RevisionNotFound(OleanderError):
+    """The store holds no manifest of the revision asked for."""
+
+    def __init__(self, revision):
+        super().__init__(f"revision {revision} is not in the store")
+        self.revision = revision
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """What the store holds now. ``version`` is the store's own version number."""
+
+    version: int
+    manifest: Manifest | None
+
+    @property
+    def revision(self):
+        """Return the revision of the manifest, 0 when there is none."""
+        return 0 if self.manifest is None else self.manifest.revision
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A revision that the store accepted.
+
+    Attributes
+    ----------
+    uploaded_chunks : int
+        Chunks that the store did not hold before.
+    """
+
+    revision: Revision
+    uploaded_chunks: int
+
+
+class Publisher:
+    """Reads and changes the stored declaration.
+
+    Parameters
+    ----------
+    store : StoreClient
+    clock : Clock
+    rng : random.Random
+        Jitter of repeated calls.
+    on_progress : callable, optional
+        Told the number of chunks checked or read, and their total.
+    time_limit_s : float
+        Seconds in which an apply resolves a lost answer.
+    sleep : callable
+        Awaitable sleep; tests replace it.
+    """
+
+    def __init__(
+        self,
+        store,
+        clock,
+        rng,
+        on_progress=None,
+        time_limit_s=DEFAULT_TIME_LIMIT_S,
+        sleep=asyncio.sleep,
+    ):
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.on_progress = on_progress or ignore_progress
+        self.time_limit_s = time_limit_s
+        self.sleep = sleep
+
+    async def read_head(self):
+        """Return the ``Head`` of the store.
+
+        Raises
+        ------
+        StoreUnavailable, ChunkError
+        """
+        stored = await self.store.get(HEAD_KEY, cause="head")
+        if stored is None:
+            return Head(0, None)
+        return Head(stored.version, decode_manifest(stored.value))
+
+    async def read_manifest(self, revision):
+        """Return the manifest of a revision.
+
+        Raises
+        ------
+        RevisionNotFound, StoreUnavailable, ChunkError
+        """
+        stored = await self.store.get(history_key(revision), cause="history")
+        if stored is not None:
+            return decode_manifest(stored.value)
+        head = await self.read_head()
+        if head.manifest is not None and head.revision == revision:
+            return head.manifest
+        raise RevisionNotFound(revision)
+
+    async def read_declaration(self, manifest):
+        """Read the chunks of ``manifest`` and build the declaration.
+
+        Raises
+        ------
+        StoreUnavailable, ChunkError
+        """
+        chunks = {}
+        digests = manifest.digests()
+        for index, digest in enumerate(digests):
+            stored = await self.store.get(chunk_key(digest), cause="chunk")
+            if stored is None:
+                raise ChunkError(f"chunk {digest} is not in the store")
+            chunks[digest] = stored.value.encode()
+            self.on_progress(index + 1, len(digests))
+        return Assembler().assemble(manifest, chunks)
+
+    async def apply(self, declaration, base_revision, author, message):
+        """Make ``declaration`` the next revision.
+
+        Parameters
+        ----------
+        declaration : Declaration
+            It was checked.
+        base_revision : int
+            Revision that the operator started from; 0 for none.
+        author, message : str
+            For the history.
+
+        Returns
+        -------
+        applied : Applied
+
+        Raises
+        ------
+        ApplyConflict
+            If the store holds another revision than ``base_revision``.
+        ApplyUnknown
+            If the outcome could not be learned within the time limit.
+        StoreUnavailable
+            If nothing was changed because the store did not answer.
+        """
+        head = await self.read_head()
+        if head.revision != base_revision:
+            raise await self.conflict(base_revision, head)
+        change = Change(
+            # One more with each swap: a head can only be replaced by a higher one.
+            revision=base_revision + 1,
+            nonce=secrets.token_hex(NONCE_BYTES),
+            author=author,
+            message=message,
+            created_at=self.clock.wall(),
+            parent_revision=base_revision,
+        )
+        manifest, chunks = split_declaration(declaration, change)
+        uploaded = await self.upload(manifest, chunks, head)
+        if head.manifest is not None:
+            # The history is complete before a head is replaced, so that its author
+            # can find it there after a lost answer.
+            await self.record_history(head.manifest)
+        await self.swap_head(manifest, head)
+        await self.try_record_history(manifest)
+        return Applied(manifest.revision, uploaded)
+
+    async def upload(self, manifest, chunks, head):
+        """Write the chunks that the base revision does not have.
+
+        Returns
+        -------
+        uploaded : int
+        """
+        known = set() if head.manifest is None else set(head.manifest.digests())
+        missing = [digest for digest in manifest.digests() if digest not in known]
+        uploaded = 0
+        for index, digest in enumerate(missing):
+            uploaded += await self.upload_chunk(digest, chunks[digest])
+            self.on_progress(index + 1, len(missing))
+        return uploaded
+
+    async def upload_chunk(self, digest, body):
+        """Write one chunk; return 0 if the store held it already."""
+        key = chunk_key(digest)
+        text = body.decode()
+        deadline = self.clock.now() + self.time_limit_s
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                await self.store.put(key, text, expect_version=0, cause="chunk")
+                return 1
+            except StoreConflict:
+                # The name is the digest: what is there has the same content.
+                return 0
+            except StoreUnavailable:
+                if self.clock.now() >= deadline:
+                    raise
+            backoff_s = await self.back_off(backoff_s)
+
+    async def swap_head(self, manifest, head):
+        """Replace ``head`` by ``manifest``, or find out why not.
+
+        A repeated swap is safe: it expects the version of ``head``, so that it takes
+        effect at most once.
+        """
+        deadline = self.clock.now() + self.time_limit_s
+        backoff_s = FIRST_BACKOFF_S
+        attempted = False
+        while True:
+            try:
+                await self.store.put(
+                    HEAD_KEY, manifest.encode(), head.version, cause="head"
+                )
+                return
+            except StoreConflict:
+                if await self.took_effect(manifest, head, deadline):
+                    return
+                raise await self.conflict(
+                    head.revision, await self.read_head()
+                ) from None
+            except StoreUnavailable:
+                attempted = True
+            if self.clock.now() >= deadline:
+                break
+            backoff_s = await self.back_off(backoff_s)
+        if attempted and await self.is_head(manifest):
+            return
+        raise ApplyUnknown(manifest.revision, manifest.change.nonce)
+
+    async def back_off(self, backoff_s):
+        """Sleep a jittered time and return the next base time, in seconds."""
+        await self.sleep(backoff_s * self.rng.uniform(0.5, 1.0))
+        return min(backoff_s * 2, MAX_BACKOFF_S)
+
+    async def is_head(self, manifest):
+        """Tell whether the store shows ``manifest`` as its head."""
+        try:
+            head = await self.read_head()
+        except (StoreUnavailable, ChunkError):
+            return False
+        return has_nonce(head.manifest, manifest)
+
+    async def took_effect(self, manifest, base, deadline):
+        """Tell after a conflict whether an earlier try of ``manifest`` succeeded.
+
+        Raises
+        ------
+        ApplyUnknown
+            If the store does not answer in time.
+        """
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                head = await self.read_head()
+                if head.revision <= manifest.revision:
+                    return has_nonce(head.manifest, manifest)
+                # A later apply stands on top of the revision in question.
+                found = await self.read_manifest(manifest.revision)
+                return has_nonce(found, manifest)
+            except RevisionNotFound:
+                raise ApplyUnknown(manifest.revision, manifest.change.nonce) from None
+            except StoreUnavailable:
+                if self.clock.now() >= deadline:
+                    raise ApplyUnknown(
+                        manifest.revision, manifest.change.nonce
+                    ) from None
+            backoff_s = await self.back_off(backoff_s)
+
+    async def conflict(self, base_revision, head):
+        """Build the error that shows what changed since ``base_revision``."""
+        try:
+            before = await self.read_revision(base_revision)
+            after = await self.read_revision(head.revision)
+        except (RevisionNotFound, ChunkError, StoreUnavailable):
+            return ApplyConflict(base_revision, head.revision, ())
+        if after is None:
+            return ApplyConflict(base_revision, head.revision, ())
+        differences = tuple(compare(before, after))
+        return ApplyConflict(base_revision, head.revision, differences)
+
+    async def read_revision(self, revision) -> Declaration | None:
+        """Return the declaration of a revision, None for revision 0."""
+        if revision == 0:
+            return None
+        return await self.read_declaration(await self.read_manifest(revision))
+
+    async def record_history(self, manifest):
+        """Keep ``manifest`` under its revision, if it is not there yet."""
+        key = history_key(manifest.revision)
+        try:
+            await self.store.put(key, manifest.encode(), 0, cause="history")
+        except StoreConflict:
+            pass
+
+    async def try_record_history(self, manifest):
+        """Record the history; the next apply does so if the store fails now."""
+        try:
+            await self.record_history(manifest)
+        except StoreUnavailable as error:
+            events.HISTORY_NOT_RECORDED.log(
+                revision=manifest.revision, reason=str(error)
+            )
+
+    async def read_history(self, limit):
+        """Return the manifests of the newest revisions, newest first.
+
+        Parameters
+        ----------
+        limit : int
+            Number of revisions at most.
+        """
+        head = await self.read_head()
+        manifests = []
+        manifest = head.manifest
+        while manifest is not None and len(manifests) < limit:
+            manifests.append(manifest)
+            parent = manifest.change.parent_revision
+            if parent == 0:
+                break
+            try:
+                manifest = await self.read_manifest(parent)
+            except RevisionNotFound:
+                break
+        return manifests
+
+
+def ignore_progress(done, total):
+    """Take no notice of progress."""
+
+
+def chunk_key(digest):
+    """Return the key of a chunk."""
+    return f"{CHUNK_PREFIX}{digest}"
+
+
+def history_key(revision):
+    """Return the key of an earlier manifest."""
+    return f"{HISTORY_PREFIX}{revision}"
+
+
+def has_nonce(found, manifest):
+    """Tell whether ``found`` is the very apply that ``manifest`` belongs to."""
+    return found is not None and found.change.nonce == manifest.change.nonce
