--- /dev/null
+++ b/oleanderroute/entry/answer_parser.py
@@ -0,0 +1,138 @@
+"""Parses and checks the answers of a target."""
+
+import httptools
+
+from ..errors import MalformedAnswer
+from .answer_stream import BUFFER_BYTES, BufferedStream
+from .messages import DROPPED_FROM_ANSWER, TargetAnswer, answer_headers
+
+MAX_HEADERS = 200
+
+
+class AnswerParser:
+    """Callbacks of the HTTP parser, and the state of the answer they build.
+
+    An exception in a callback stops the parser, which then refuses all input.
+    """
+
+    def __init__(self):
+        self.parser = None
+        self.waiter = None
+        self.stream = None
+        self.reset_answer("")
+
+    def reset_answer(self, method):
+        """Prepare for the answer to a request with ``method``."""
+        self.method = method
+        self.message_open = False
+        self.head_complete = False
+        self.answer_complete = False
+        self.extra_bytes = False
+        self.keep_alive = False
+        self.head_bytes = 0
+        self.headers = []
+        self.chunks = []
+        self.size = 0
+        self.answer = None
+        if self.parser is None:
+            self.parser = httptools.HttpResponseParser(self)
+
+    def on_message_begin(self):
+        """Note that an answer starts, or that bytes follow a complete one."""
+        if self.answer_complete:
+            self.extra_bytes = True
+            return
+        self.message_open = True
+        self.headers = []
+
+    def on_header(self, name, value):
+        """Collect a header; trailers after the body are dropped."""
+        if self.head_complete:
+            return
+        self.headers.append((name.lower(), value.rstrip(b" \t")))
+
+    def on_headers_complete(self):
+        """Check the framing of an answer; raises to stop the parser."""
+        status = self.parser.get_status_code()
+        if self.answer_complete:
+            return
+        if status < 200:
+            if status == 101:
+                raise MalformedAnswer("unrequested upgrade", True)
+            return
+        if status > 599 or len(self.headers) > MAX_HEADERS:
+            raise MalformedAnswer("bad status or too many headers", True)
+        self.status = status
+        self.head_complete = True
+        length = self.read_answer_head()
+        if self.method == "HEAD":
+            # The parser can't be told that no body follows, so it is replaced.
+            self.answer_complete = True
+            self.keep_alive = self.parser.should_keep_alive()
+        elif length > BUFFER_BYTES:
+            self.start_stream()
+
+    def read_answer_head(self):
+        """Build the answer from the headers and return the declared length.
+
+        An answer that is framed by the end of the connection is refused, because it
+        can't be told from one that broke off.
+        """
+        answer = TargetAnswer(self.status, self.headers, None)
+        self.answer = answer
+        length = -1
+        chunked = False
+        drop = False
+        for name, value in self.headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"x-not-started":
+                answer.not_started = self.status == 503 and value == b"1"
+            elif name == b"x-draining":
+                answer.draining = value == b"1"
+            elif name in DROPPED_FROM_ANSWER:
+                drop = True
+                if name == b"transfer-encoding":
+                    chunked = value.lower() == b"chunked"
+                elif name == b"connection":
+                    answer.closes = b"close" in value.lower()
+        if drop:
+            answer.headers = answer_headers(self.headers)
+        if length < 0 and not chunked and not self.has_no_body():
+            raise MalformedAnswer("answer without length", True)
+        return 0 if self.has_no_body() else length
+
+    def has_no_body(self):
+        """Tell whether the answer ends with its headers."""
+        return self.method == "HEAD" or self.status in (204, 304)
+
+    def on_body(self, data):
+        """Keep a small body, hand on a larger one."""
+        if self.answer_complete:
+            self.extra_bytes = True
+            return
+        if self.stream is not None:
+            self.stream.feed(data)
+            return
+        self.chunks.append(data)
+        self.size += len(data)
+        if self.size > BUFFER_BYTES:
+            self.start_stream()
+
+    def on_message_complete(self):
+        """Note the end of an answer; an interim one is skipped."""
+        if self.answer_complete:
+            return
+        if not self.head_complete:
+            self.message_open = False
+            return
+        self.answer_complete = True
+        self.keep_alive = self.parser.should_keep_alive()
+
+    def start_stream(self):
+        """Deliver the answer now and its body as it arrives."""
+        self.stream = BufferedStream(self, self.chunks)
+        self.chunks = []
+        self.answer.stream = self.stream
+        if not self.waiter.done():
+            self.waiter.set_result(self.answer)
--- /dev/null
+++ b/oleanderroute/entry/caller_protocol.py
@@ -0,0 +1,421 @@
+"""Accepts callers' connections: limits, strict framing and disconnects."""
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass
+from enum import Enum
+from math import inf
+from urllib.parse import unquote
+
+import httptools
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+
+from ..errors import OleanderError
+from .caller_cycle import CallerCycle
+
+# After an early refusal, incoming bytes are discarded for this long. Closing with
+# unread bytes makes the kernel send a reset, which can destroy the answer.
+LINGER_S = 2.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+WATCHED = frozenset({b"host", b"content-length", b"transfer-encoding", b"expect"})
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What one caller, and all callers together, may use.
+
+    Attributes
+    ----------
+    header_bytes : int
+        Request line and headers, without the separators.
+    header_s : float
+        Seconds from a request's first byte to the end of its headers.
+    body_gap_s : float
+        Seconds without a byte of the body while the target could take more.
+    write_gap_s : float
+        Seconds in which a caller takes nothing of a pending answer.
+    idle_s : float
+        Seconds that a connection may stay open between two requests. Above the
+        usual 60 s of balancers, so that the balancer closes first.
+    """
+
+    connections: int = 4096
+    header_bytes: int = 32 * 1024
+    headers: int = 100
+    header_s: float = 10.0
+    body_gap_s: float = 30.0
+    write_gap_s: float = 60.0
+    idle_s: float = 75.0
+
+
+class RefusalReason(Enum):
+    """Why a request was refused before the pipeline saw it.
+
+    The value is the ``Oleander-Reason`` code.
+    """
+
+    MALFORMED = "malformed-request"
+    FRAMING = "ambiguous-framing"
+    HOST = "missing-host"
+    REQUEST_TARGET = "request-target"
+    UPGRADE = "upgrade-not-supported"
+    VERSION = "http-version"
+    HEADER_SIZE = "header-size"
+    HEADER_TIMEOUT = "header-timeout"
+    CONNECTIONS = "too-many-connections"
+
+
+class RequestRefused(OleanderError):
+    """Stops the parser; the caller gets ``status`` and the connection closes.
+
+    Parameters
+    ----------
+    status : int
+    reason : RefusalReason
+    """
+
+    def __init__(self, status, reason):
+        super().__init__(reason.value)
+        self.status = status
+        self.reason = reason
+
+
+class PipelinedRequest(OleanderError):
+    """A caller sent a request before the answer to the one before."""
+
+
+class CallerProtocol(HttpToolsProtocol):
+    """uvicorn's HTTP protocol with bounds on what a caller can do.
+
+    Parameters
+    ----------
+    config, server_state, app_state, _loop
+        As uvicorn passes them.
+    limits : CallerLimits
+    clock : Clock
+    sweep : DeadlineSweep
+        Calls ``deadline_passed`` when ``deadline`` is over.
+    gate : CallerGate
+        Tells whether the server drains.
+    """
+
+    def __init__(
+        self,
+        config,
+        server_state,
+        app_state,
+        _loop=None,
+        *,
+        limits,
+        clock,
+        sweep,
+        gate,
+    ):
+        super().__init__(config, server_state, app_state, _loop)
+        self.limits = limits
+        self.clock = clock
+        self.sweep = sweep
+        self.gate = gate
+        self.deadline = inf
+        self.task = None
+        self.url = b""
+        self.in_headers = False
+        self.discarding = False
+        self.lingering = False
+        self.raw_bytes = 0
+        self.header_size = 0
+        self.overhead_bytes = 0
+        self.body_progress = False
+        self.host_count = 0
+        self.content_length = None
+        self.transfer_encoding = None
+
+    # Events of the transport
+
+    def connection_made(self, transport):
+        """Admit the connection, or refuse it above the limit."""
+        super().connection_made(transport)
+        self.deadline = self.clock.now() + self.limits.idle_s
+        self.sweep.add(self)
+        if len(self.connections) > self.limits.connections:
+            self.refuse(503, RefusalReason.CONNECTIONS)
+
+    def connection_lost(self, error):
+        """Cancel the request in progress, which drops the target's connection."""
+        self.sweep.discard(self)
+        super().connection_lost(error)
+        if self.task is not None:
+            self.task.cancel()
+
+    def data_received(self, data):
+        """Feed the parser within the limits."""
+        if self.discarding:
+            return
+        self.raw_bytes += len(data)
+        self.body_progress = False
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self.ignore_upgrade(upgrade.args[0] < len(data))
+        except httptools.HttpParserError as error:
+            self.parser_stopped(error.__context__)
+        else:
+            self.check_progress(len(data))
+
+    def check_progress(self, received):
+        """Bound bytes that neither complete the headers nor belong to a body."""
+        if self.in_headers:
+            if self.raw_bytes > self.limits.header_bytes:
+                self.refuse(431, RefusalReason.HEADER_SIZE)
+            return
+        cycle = self.cycle
+        if cycle is None or not cycle.more_body or self.body_progress:
+            self.overhead_bytes = 0
+            return
+        self.overhead_bytes += received
+        if self.overhead_bytes > self.limits.header_bytes:
+            self.abort()
+
+    def ignore_upgrade(self, has_more):
+        """Go on after a bodyless request that offers an upgrade, as HTTP allows."""
+        if has_more:
+            self.cycle.keep_alive = False
+            self.discarding = True
+
+    def parser_stopped(self, cause):
+        """Answer input that the parser or a callback refused."""
+        if isinstance(cause, PipelinedRequest):
+            return
+        if not isinstance(cause, RequestRefused):
+            cause = RequestRefused(400, RefusalReason.MALFORMED)
+        self.refuse_parsed(cause)
+
+    def refuse_parsed(self, refusal):
+        """Refuse a request; one that the application already has is broken off."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            self.refuse(refusal.status, refusal.reason)
+            return
+        if cycle.entered:
+            # A target may have part of this request, so no refusal is proved.
+            self.abort()
+            return
+        self.task.cancel()
+        self.task = None
+        cycle.disconnected = True
+        self.refuse(refusal.status, refusal.reason)
+
+    # Callbacks of the parser
+
+    def on_message_begin(self):
+        """Start a request; one that arrives before the last answer is not read.
+
+        The caller gets the answer in progress with ``Connection: close``, so it knows
+        that the later requests were not run, and no target is held by a queue.
+        """
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            cycle.keep_alive = False
+            self.discarding = True
+            raise PipelinedRequest("request before the answer to the last")
+        super().on_message_begin()
+        self.in_headers = True
+        self.raw_bytes = 0
+        self.header_size = 0
+        self.host_count = 0
+        self.content_length = None
+        self.transfer_encoding = None
+        self.deadline = self.clock.now() + self.limits.header_s
+
+    def on_header(self, name, value):
+        """Keep a header; trailers after the body are dropped."""
+        if not self.in_headers:
+            return
+        name = name.lower()
+        value = value.rstrip(b" \t")
+        self.header_size += len(name) + len(value)
+        if name in WATCHED:
+            self.watch(name, value)
+        self.headers.append((name, value))
+
+    def watch(self, name, value):
+        """Note the headers that decide about framing."""
+        if name == b"host":
+            self.host_count += 1
+        elif name == b"content-length":
+            self.content_length = value
+        elif name == b"transfer-encoding":
+            self.transfer_encoding = value.lower()
+        elif name == b"expect":
+            self.expect_100_continue = value.lower() == b"100-continue"
+
+    def on_headers_complete(self):
+        """Check the request and start the application."""
+        self.in_headers = False
+        self.check_head()
+        scope = self.scope
+        scope["method"] = self.parser.get_method().decode("ascii")
+        self.set_target(scope)
+        self.cycle = CallerCycle(
+            scope=scope,
+            transport=self.transport,
+            flow=self.flow,
+            logger=self.logger,
+            access_logger=self.access_logger,
+            access_log=False,
+            default_headers=self.server_state.default_headers,
+            message_event=asyncio.Event(),
+            expect_100_continue=self.expect_100_continue,
+            keep_alive=self.parser.should_keep_alive() and not self.gate.draining,
+            on_response=self.on_response_complete,
+        )
+        self.cycle.protocol = self
+        self.deadline = self.clock.now() + self.limits.body_gap_s
+        self._start_asgi_task(self.cycle, self.app)
+
+    def check_head(self):
+        """Raise ``RequestRefused`` unless the request's framing is unambiguous."""
+        size = self.header_size + len(self.url)
+        if size > self.limits.header_bytes or len(self.headers) > self.limits.headers:
+            raise RequestRefused(431, RefusalReason.HEADER_SIZE)
+        if self.parser.get_http_version() != "1.1":
+            raise RequestRefused(505, RefusalReason.VERSION)
+        # The parser skips the body of such a request, so only one without is safe.
+        if self.parser.should_upgrade() and (
+            self.parser.get_method() == b"CONNECT"
+            or self.content_length is not None
+            or self.transfer_encoding is not None
+        ):
+            raise RequestRefused(400, RefusalReason.UPGRADE)
+        if self.host_count != 1:
+            raise RequestRefused(400, RefusalReason.HOST)
+        if self.transfer_encoding is None:
+            return
+        if self.transfer_encoding != b"chunked" or self.content_length is not None:
+            raise RequestRefused(400, RefusalReason.FRAMING)
+
+    def set_target(self, scope):
+        """Put path and query into ``scope``.
+
+        Only origin-form is accepted. Dot segments are refused, because a target
+        would resolve them to another path than the route was matched on.
+        """
+        raw_path, _, query = self.url.partition(b"?")
+        if not raw_path.startswith(b"/") or b"#" in self.url:
+            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
+        path = raw_path.decode("latin-1")
+        if "%" in path:
+            path = unquote(path)
+        if "/." in path:
+            segments = path.split("/")
+            if "." in segments or ".." in segments:
+                raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
+        scope["path"] = path
+        scope["raw_path"] = raw_path
+        scope["query_string"] = query
+
+    def _start_asgi_task(self, cycle, app):
+        task = self.loop.create_task(cycle.run_asgi(app))
+        task.add_done_callback(self.tasks.discard)
+        self.tasks.add(task)
+        self.task = task
+
+    def on_body(self, body):
+        """Keep bytes for the application; pauses the caller when it is slower."""
+        cycle = self.cycle
+        self.body_progress = True
+        if cycle.response_complete:
+            return
+        cycle.body += body
+        if len(cycle.body) > HIGH_WATER_LIMIT:
+            self.flow.pause_reading()
+        self.deadline = self.clock.now() + self.limits.body_gap_s
+        cycle.message_event.set()
+
+    def on_message_complete(self):
+        """Note the end of the request."""
+        cycle = self.cycle
+        cycle.more_body = False
+        self.deadline = inf
+        if not cycle.response_complete:
+            cycle.message_event.set()
+
+    # Ends
+
+    def on_response_complete(self):
+        """Wait for the next request, or close."""
+        self.server_state.total_requests += 1
+        self.task = None
+        if self.lingering or self.transport.is_closing():
+            return
+        self.flow.resume_reading()
+        self.deadline = self.clock.now() + self.limits.idle_s
+
+    def deadline_passed(self, now):
+        """End a connection whose caller takes too long; called by the sweep."""
+        cycle = self.cycle
+        in_progress = cycle is not None and not cycle.response_complete
+        if self.flow.write_paused and in_progress:
+            self.abort()
+            return
+        if in_progress and (self.flow.read_paused or cycle.waiting_for_100_continue):
+            self.deadline = now + self.limits.body_gap_s
+            return
+        if in_progress:
+            self.abort()
+            return
+        if self.in_headers and not self.lingering:
+            self.refuse(408, RefusalReason.HEADER_TIMEOUT)
+            return
+        self.transport.close()
+
+    def pause_writing(self):
+        """Bound the time in which a caller takes nothing of its answer."""
+        super().pause_writing()
+        self.deadline = self.clock.now() + self.limits.write_gap_s
+
+    def resume_writing(self):
+        """Lift the bound of a slow caller."""
+        super().resume_writing()
+        self.deadline = inf
+
+    def refuse(self, status, reason):
+        """Answer a request that never reached the pipeline, then close."""
+        self.transport.write(
+            b"".join(
+                (
+                    STATUS_LINE[status],
+                    b"content-length: 0\r\nconnection: close\r\n",
+                    b"oleander-outcome: not-run\r\noleander-reason: ",
+                    reason.value.encode("ascii"),
+                    b"\r\n\r\n",
+                )
+            )
+        )
+        self.linger()
+
+    def linger(self):
+        """Close for writing, and for reading when the caller has taken the answer."""
+        self.discarding = True
+        self.lingering = True
+        self.flow.resume_reading()
+        self.deadline = self.clock.now() + LINGER_S
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    def abort(self):
+        """Reset the connection, so that a caller can't take a fragment for whole."""
+        self.discarding = True
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and not self.transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
+    def close_if_idle(self):
+        """Close the connection unless a request is in progress."""
+        if self.in_headers or self.lingering:
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.close()
--- /dev/null
+++ b/oleanderroute/entry/target_pool.py
@@ -0,0 +1,292 @@
+"""Pools of connections to targets."""
+
+import asyncio
+import socket
+
+from ..clock import SystemClock
+from ..errors import ConnectFailed, TargetError
+from .deadlines import DeadlineSweep
+from .target_connection import TargetConnection
+
+DEFAULT_CONNECTION_LIMIT = 8
+CONNECT_TIMEOUT_S = 1.0
+# Below the 60 s after which common servers close idle connections themselves.
+IDLE_CLOSE_S = 50.0
+IDLE_CHECK_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 0.02
+# A peer that vanished is noticed after 10 + 3 x 3 s without traffic.
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 3
+KEEPALIVE_PROBES = 3
+
+
+class ConnectionLimitReached(TargetError):
+    """All permitted connections to a target are busy; nothing was sent.
+
+    Parameters
+    ----------
+    limit : int
+    """
+
+    def __init__(self, limit):
+        super().__init__(f"all {limit} connections are busy", bytes_sent=False)
+        self.limit = limit
+        self.reused = False
+
+
+def open_socket(address):
+    """Return a non-blocking TCP socket for an IPv4 or IPv6 ``address``."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return sock
+
+
+class TargetConnections:
+    """The connections to one target.
+
+    Parameters
+    ----------
+    target : Target
+    limit : int
+        Connections that may be open at once.
+    clock : Clock
+    sweep : DeadlineSweep
+    """
+
+    def __init__(self, target, limit, clock, sweep):
+        self.target = target
+        self.limit = limit
+        self.clock = clock
+        self.sweep = sweep
+        self.idle = []
+        self.open = set()
+        self.opening = 0
+        self.opened = 0
+        # Connections with a lower serial were opened before one that went silent.
+        self.suspect_below = 0
+
+    async def connect(self, timeout_s):
+        """Open a connection.
+
+        Raises
+        ------
+        ConnectFailed, ConnectionLimitReached
+        """
+        if len(self.open) + self.opening >= self.limit:
+            raise ConnectionLimitReached(self.limit)
+        self.opening += 1
+        try:
+            return await self.connect_socket(timeout_s)
+        finally:
+            self.opening -= 1
+
+    async def connect_socket(self, timeout_s):
+        """Connect a socket within ``timeout_s`` and wrap it."""
+        target = self.target
+        sock = open_socket(target.address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(sock, (target.address, target.port))
+                self.opened += 1
+                connection = TargetConnection(self, self.opened, self.clock, self.sweep)
+                await loop.create_connection(lambda: connection, sock=sock)
+        except (OSError, TimeoutError) as error:
+            sock.close()
+            failure = ConnectFailed(f"{target.address}:{target.port}: {error!r}")
+            failure.reused = False
+            raise failure from error
+        except asyncio.CancelledError:
+            sock.close()
+            raise
+        self.open.add(connection)
+        return connection
+
+    def take_idle(self):
+        """Return the connection that was used last, or None.
+
+        Reusing the newest lets those that are not needed grow old and be closed.
+        """
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_usable():
+                return connection
+            connection.retire()
+        return None
+
+    def connection_idle(self, connection):
+        """Keep a connection for the next exchange unless it is suspect."""
+        if connection.serial < self.suspect_below or len(self.open) > self.limit:
+            connection.retire()
+            return
+        self.idle.append(connection)
+
+    def connection_closed(self, connection):
+        """Forget a connection."""
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def connection_silent(self, connection):
+        """Suspect all connections that were opened before a silent one."""
+        self.suspect_below = max(self.suspect_below, connection.serial)
+        self.close_idle(lambda idle: idle.serial < self.suspect_below)
+
+    def close_idle(self, is_unwanted):
+        """Close the idle connections for which ``is_unwanted`` is true."""
+        kept = []
+        unwanted = []
+        for connection in self.idle:
+            if is_unwanted(connection):
+                unwanted.append(connection)
+                continue
+            kept.append(connection)
+        self.idle = kept
+        for connection in unwanted:
+            connection.retire()
+
+    def close(self):
+        """Close all connections; exchanges in progress fail."""
+        self.idle = []
+        for connection in list(self.open):
+            connection.retire()
+
+
+class TargetPool:
+    """Exchanges with targets over connections that are kept open.
+
+    Parameters
+    ----------
+    host_id : HostId
+    failure_domain : FailureDomain
+        Identity of this host, for diagnosis.
+    clock : Clock
+    connect_timeout_s : float
+    """
+
+    def __init__(
+        self,
+        host_id,
+        failure_domain,
+        clock=None,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+    ):
+        self.host_id = host_id
+        self.failure_domain = failure_domain
+        self.clock = clock or SystemClock()
+        self.connect_timeout_s = connect_timeout_s
+        self.sweep = DeadlineSweep(self.clock, SWEEP_INTERVAL_S)
+        self.targets = {}
+        self.limits = {}
+        self.idle_timer = None
+
+    async def exchange(
+        self, target, request, first_byte_s, between_bytes_s, fresh=False
+    ):
+        """Send a request to ``target`` and return its answer.
+
+        A body up to 64 KiB is complete in the answer; a larger one is read with
+        ``TargetAnswer.chunks()``. Nothing is ever sent twice. Cancelling closes the
+        connection, which cancels the work on the target.
+
+        Parameters
+        ----------
+        target : Target
+        request : OutgoingRequest
+        first_byte_s, between_bytes_s : float
+            Time limits in seconds.
+        fresh : bool
+            Open a new connection even if there is an idle one.
+
+        Raises
+        ------
+        TargetError
+            With ``bytes_sent`` (whether any byte may have reached the target) and
+            ``reused`` (whether the connection had served another exchange).
+        CallerDisconnected, BodyTooLarge
+            From the body of the request.
+        """
+        connections = self.connections_to(target)
+        connection = None if fresh else connections.take_idle()
+        if connection is None:
+            connection = await connections.connect(self.connect_timeout_s)
+        return await connection.exchange(request, first_byte_s, between_bytes_s)
+
+    def connections_to(self, target):
+        """Return the connections of ``target``, new ones if its address changed."""
+        connections = self.targets.get(target.target_id)
+        if connections is not None:
+            known = connections.target
+            if known is target or (known.address, known.port) == (
+                target.address,
+                target.port,
+            ):
+                return connections
+            self.close_target(target.target_id)
+        limit = self.limits.get(target.target_id, DEFAULT_CONNECTION_LIMIT)
+        connections = TargetConnections(target, limit, self.clock, self.sweep)
+        self.targets[target.target_id] = connections
+        if self.idle_timer is None:
+            self.check_idle()
+        return connections
+
+    def set_connection_limit(self, target_id, limit):
+        """Bound the open connections to a target; surplus ones close when idle."""
+        self.limits[target_id] = limit
+        connections = self.targets.get(target_id)
+        if connections is None:
+            return
+        connections.limit = limit
+        while connections.idle and len(connections.open) > limit:
+            connection = connections.idle.pop(0)
+            connections.open.discard(connection)
+            connection.retire()
+
+    async def warm(self, target, count):
+        """Open connections until ``count`` are idle or the limit is reached.
+
+        Raises
+        ------
+        ConnectFailed
+        """
+        connections = self.connections_to(target)
+        while len(connections.idle) < count:
+            if len(connections.open) + connections.opening >= connections.limit:
+                return
+            connections.idle.append(await connections.connect(self.connect_timeout_s))
+
+    def check_idle(self):
+        """Close what was idle for long, and check again later."""
+        self.close_idle()
+        loop = asyncio.get_running_loop()
+        self.idle_timer = loop.call_later(IDLE_CHECK_INTERVAL_S, self.check_idle)
+
+    def close_idle(self):
+        """Close the connections that were not used for ``IDLE_CLOSE_S`` seconds."""
+        oldest = self.clock.now() - IDLE_CLOSE_S
+        for connections in self.targets.values():
+            connections.close_idle(lambda idle: idle.idle_since < oldest)
+
+    def close_target(self, target_id):
+        """Close idle connections of a target that is gone; busy ones end first."""
+        connections = self.targets.pop(target_id, None)
+        if connections is None:
+            return
+        connections.limit = 0
+        connections.close_idle(lambda idle: True)
+
+    def close(self):
+        """Close all connections at once."""
+        self.sweep.close()
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+            self.idle_timer = None
+        for connections in self.targets.values():
+            connections.close()
+        self.targets.clear()
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -72,3 +72,11 @@
     300, "peer_message_dropped", "A peer message was malformed or not acceptable."
 )
 PEER_UNREACHABLE = define(301, "peer_unreachable", "A peer did not answer.")
+
+# 400-499: callers and targets
+CALLER_REQUEST_FAILED = define(
+    400, "caller_request_failed", "A request ended with an unexpected error."
+)
+CALLERS_CUT = define(
+    401, "callers_cut", "Requests in flight were cut at the time limit of a stop."
+)
