--- /dev/null
+++ b/oleanderroute/decisions/comparison.py
@@ -0,0 +1,279 @@
+"""Comparison of one target with the other targets of its service.
+
+Shares of attempts are judged by a Chernoff bound: a target that is like the others
+shows ``failures`` or more among ``samples`` with a chance of at most
+``exp(-evidence)``, where evidence is ``samples`` times the Kullback-Leibler
+divergence between the share seen and the share expected.
+"""
+
+import math
+from dataclasses import dataclass
+
+from ..outcome import FAILURE_KINDS, AttemptKind, RequestClass
+from .verdict import KIND_SIGNALS, NO_REASON, Signal, VerdictReason
+
+SAMPLE_MINIMUM = 5
+# With fewer peers than this a median says little; absolute limits apply.
+PEER_MINIMUM = 3
+# Failures that any service may show; keeps a spotless service from ejecting on one.
+FAILURE_REFERENCE_MINIMUM = 0.01
+SLOW_REFERENCE_MINIMUM = 0.02
+# Factor that makes a median absolute deviation comparable to a standard deviation.
+DEVIATION_SCALE = 1.4826
+# Peers with the highest shares are left out of the pooled reference, because some
+# of them may be sick as well.
+TRIMMED_PEERS = 1 / 3
+SLOW_QUANTILE = 0.9
+SLOW_FACTOR = 3.0
+SLOW_DEVIATIONS = 6.0
+SLOW_GAP_S = 0.010
+ABSOLUTE_FAILURE_REFERENCE = 0.1
+ABSOLUTE_SHARE = 0.5
+ABSOLUTE_SLOW_FACTOR = 4.0
+# Windows, by position in WINDOW_LENGTHS_S, in which latencies are compared.
+LATENCY_WINDOWS = (1, 2)
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """What the comparison says of one target.
+
+    Attributes
+    ----------
+    reason : VerdictReason
+    gap : float
+        Excess of the target's share over its reference.
+    """
+
+    reason: VerdictReason = NO_REASON
+    gap: float = 0.0
+
+
+NO_FINDING = Finding()
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Attempts that show a signal, among all that were judged."""
+
+    hits: float
+    samples: int
+
+    @property
+    def value(self):
+        """The share, between 0 and 1."""
+        return self.hits / self.samples
+
+
+def median(values):
+    """Return the median of a non-empty list."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
+
+
+def median_deviation(values, center):
+    """Return the median absolute deviation from ``center``, scaled to sigma."""
+    return DEVIATION_SCALE * median([abs(value - center) for value in values])
+
+
+def evidence(share, reference, samples):
+    """Return the strength in nats of a share above its reference, else 0."""
+    if share <= reference:
+        return 0.0
+    if share >= 1.0:
+        return -samples * math.log(reference)
+    divergence = share * math.log(share / reference)
+    divergence += (1 - share) * math.log((1 - share) / (1 - reference))
+    return samples * divergence
+
+
+def pooled_share(shares):
+    """Return the share over all peers but those with the highest values."""
+    kept = sorted(shares, key=lambda share: share.value)
+    kept = kept[: len(kept) - int(len(kept) * TRIMMED_PEERS)]
+    return sum(share.hits for share in kept) / sum(share.samples for share in kept)
+
+
+def reference_share(shares, minimum):
+    """Return the share that peers let expect, at least ``minimum``.
+
+    Parameters
+    ----------
+    shares : list of Share
+        One for each peer, not empty.
+    """
+    values = [share.value for share in shares]
+    center = median(values)
+    spread = median_deviation(values, center)
+    expected = max(center + spread, pooled_share(shares), minimum)
+    return min(expected, 0.99)
+
+
+class ClassComparison:
+    """All targets of one service and request class at one moment.
+
+    Parameters
+    ----------
+    request_class : RequestClass
+    windows : dict of TargetId to OutcomeWindows
+        Advanced to the moment of the comparison.
+    peers : set of TargetId
+        Targets that serve and may be compared with.
+    quantiles : list of dict
+        For each window, target to its `SLOW_QUANTILE` in seconds.
+    objective_s : float
+        Latency objective of the service in seconds.
+    """
+
+    def __init__(self, request_class, windows, peers, quantiles, objective_s):
+        self.request_class = request_class
+        self.windows = windows
+        self.peers = peers
+        self.quantiles = quantiles
+        self.objective_s = objective_s
+
+    def find(self, target_id, minimum=SAMPLE_MINIMUM):
+        """Return the strongest finding on a target.
+
+        Parameters
+        ----------
+        minimum : int
+            Attempts below which shares are not judged.
+        """
+        own = self.windows.get(target_id)
+        if own is None:
+            return NO_FINDING
+        best = NO_FINDING
+        for position, window in enumerate(own.windows):
+            for finding in self._failure_findings(target_id, position, window, minimum):
+                best = stronger(best, finding)
+        if own.hard_run:
+            best = stronger(best, self._run_finding(target_id, own))
+        for position in LATENCY_WINDOWS:
+            best = stronger(best, self._slow_finding(target_id, position, minimum))
+        return best
+
+    def _failure_findings(self, target_id, position, window, minimum):
+        by_kind = window.total.by_kind
+        seen = [kind for kind in FAILURE_KINDS if by_kind[kind]]
+        if not seen:
+            return
+        samples = _judged(by_kind)
+        if samples < minimum:
+            return
+        groups = [(kind,) for kind in seen]
+        if len(seen) > 1:
+            groups.append(tuple(seen))
+        for kinds in groups:
+            signal = KIND_SIGNALS[kinds[0]] if len(kinds) == 1 else Signal.MIXED
+            share = Share(sum(by_kind[kind] for kind in kinds), samples)
+            peers = self._peer_shares(target_id, position, kinds)
+            reference = self._failure_reference(share, peers)
+            if reference is None:
+                continue
+            yield _finding(signal, share, reference, window.length_s)
+
+    def _failure_reference(self, share, peers):
+        if len(peers) >= PEER_MINIMUM:
+            return reference_share(peers, FAILURE_REFERENCE_MINIMUM)
+        if share.value < ABSOLUTE_SHARE:
+            return None
+        highest = max((peer.value for peer in peers), default=0.0)
+        return min(max(highest, ABSOLUTE_FAILURE_REFERENCE), 0.99)
+
+    def _peer_shares(self, target_id, position, kinds):
+        shares = []
+        for peer_id in self.peers:
+            if peer_id == target_id or peer_id not in self.windows:
+                continue
+            by_kind = self.windows[peer_id].windows[position].total.by_kind
+            samples = _judged(by_kind)
+            if samples < SAMPLE_MINIMUM:
+                continue
+            shares.append(Share(sum(by_kind[kind] for kind in kinds), samples))
+        return shares
+
+    def _run_finding(self, target_id, own):
+        # The long window says how often the peers fail in this way at all times,
+        # the short one whether they do so now.
+        reference = FAILURE_REFERENCE_MINIMUM
+        for position in (0, -1):
+            peers = self._peer_shares(target_id, position, (own.hard_kind,))
+            if len(peers) < PEER_MINIMUM:
+                continue
+            reference = max(
+                reference, reference_share(peers, FAILURE_REFERENCE_MINIMUM)
+            )
+        share = Share(own.hard_run, own.hard_run)
+        return _finding(KIND_SIGNALS[own.hard_kind], share, reference, 0.0)
+
+    def _slow_finding(self, target_id, position, minimum):
+        quantiles = self.quantiles[position]
+        own_s = quantiles.get(target_id)
+        total = self.windows[target_id].windows[position].total
+        if own_s is None or total.ok_samples < minimum:
+            return NO_FINDING
+        peers = [
+            peer_id
+            for peer_id in self.peers
+            if peer_id != target_id and peer_id in quantiles
+        ]
+        limit_s = self._slow_limit_s([quantiles[peer_id] for peer_id in peers])
+        if limit_s is None or own_s <= limit_s:
+            return NO_FINDING
+        slow = Share(total.share_above(limit_s) * total.ok_samples, total.ok_samples)
+        reference = self._slow_reference(slow, peers, position, limit_s)
+        if reference is None:
+            return NO_FINDING
+        length_s = self.windows[target_id].windows[position].length_s
+        return _finding(Signal.SLOW, slow, reference, length_s, limit_s)
+
+    def _slow_limit_s(self, peers_s):
+        if len(peers_s) >= PEER_MINIMUM:
+            center = median(peers_s)
+            spread = SLOW_DEVIATIONS * median_deviation(peers_s, center)
+            return center + max(spread, (SLOW_FACTOR - 1) * center, SLOW_GAP_S)
+        # The objective speaks of ordinary requests; long ones have no such bound.
+        if self.request_class is RequestClass.LONG:
+            return None
+        slowest = max(peers_s, default=0.0)
+        return max(ABSOLUTE_SLOW_FACTOR * self.objective_s, SLOW_FACTOR * slowest)
+
+    def _slow_reference(self, slow, peers, position, limit_s):
+        if len(peers) < PEER_MINIMUM:
+            if slow.value < ABSOLUTE_SHARE:
+                return None
+            return ABSOLUTE_FAILURE_REFERENCE
+        shares = []
+        for peer_id in peers:
+            total = self.windows[peer_id].windows[position].total
+            hits = total.share_above(limit_s) * total.ok_samples
+            shares.append(Share(hits, total.ok_samples))
+        return reference_share(shares, SLOW_REFERENCE_MINIMUM)
+
+
+def stronger(first, second):
+    """Return the finding with more evidence."""
+    if second.reason.evidence > first.reason.evidence:
+        return second
+    return first
+
+
+def _judged(by_kind):
+    """Return the attempts that say something of the target."""
+    refused = by_kind[AttemptKind.REFUSED_NOT_STARTED]
+    return sum(by_kind) - refused - by_kind[AttemptKind.CANCELLED]
+
+
+def _finding(signal, share, reference, window_s, limit_s=0.0):
+    value = share.value
+    strength = evidence(value, reference, share.samples)
+    if strength <= 0.0:
+        return NO_FINDING
+    reason = VerdictReason(
+        signal, value, reference, share.samples, strength, window_s, limit_s
+    )
+    return Finding(reason, value - reference)
--- /dev/null
+++ b/oleanderroute/decisions/ejection.py
@@ -0,0 +1,420 @@
+"""State machine of every target of a service: ejection, probation, ramp, floor."""
+
+import math
+from dataclasses import dataclass, replace
+
+from ..ids import TargetId
+from .chart import read_chart
+from .comparison import NO_FINDING, Finding
+from .verdict import Restraint, Signal, TargetEvent, TargetState, Verdict
+
+TARGET_CHART = read_chart("target.json", TargetState, TargetEvent)
+
+# Hysteresis: evidence in nats to doubt, to eject, and to clear a target.
+DOUBT_EVIDENCE = 9.0
+EJECT_EVIDENCE = 18.0
+CLEAR_EVIDENCE = 3.0
+# A target on probation was sick a moment ago, so less evidence sends it back.
+RELAPSE_EVIDENCE = 5.0
+DOUBT_GAP = 0.05
+EJECT_GAP = 0.10
+CLEAR_AFTER_S = 2.0
+EJECTION_MIN_S = 5.0
+EJECTION_MAX_S = 300.0
+# Targets that were ejected together do not return together.
+EJECTION_JITTER = 0.1
+STRIKE_DECAY_S = 300.0
+PROBATION_SUCCESSES = 8
+# A service without idempotent traffic gives a target no way to prove itself; after
+# this time it gets the first step of the ramp.
+PROBATION_UNUSED_S = 60.0
+PROBE_MEMORY_S = 30.0
+# Ejections this shortly before most targets looked sick belong to the same fault.
+SUPPRESSION_LOOKBACK_S = 10.0
+SUSPECT_WEIGHT = 0.5
+FLOOR_WEIGHT = 0.2
+PROBATION_WEIGHT = 0.2
+COLD_WEIGHT = 0.05
+RAMP_START = 0.1
+# Weights move in steps, so that a ramp does not change every verdict message.
+WEIGHT_STEP = 0.05
+DRAIN_MEMORY_S = 60.0
+SERVING_STATES = frozenset(
+    {TargetState.HEALTHY, TargetState.SUSPECT, TargetState.RAMPING}
+)
+OUT_STATES = frozenset({TargetState.EJECTED, TargetState.PROBATION})
+
+
+@dataclass(frozen=True, slots=True)
+class Assessment:
+    """What detection knows of one target at one moment.
+
+    Attributes
+    ----------
+    successes : int
+        Successful attempts in the windows; probes are none.
+    outcomes : int
+        All attempts in the windows.
+    """
+
+    finding: Finding = NO_FINDING
+    successes: int = 0
+    outcomes: int = 0
+
+
+NO_ASSESSMENT = Assessment()
+
+
+@dataclass(frozen=True, slots=True)
+class Transition:
+    """One change of a target's state."""
+
+    target_id: TargetId
+    before: TargetState
+    after: TargetState
+
+
+class TargetCondition:
+    """State of one target and what its next change depends on.
+
+    Attributes
+    ----------
+    strikes : int
+        Ejections that are not forgotten yet; each doubles the next ejection.
+    restrained : bool
+        Whether the target looks sick but is kept in use at low weight.
+    """
+
+    def __init__(self, target_id, state, now):
+        self.target_id = target_id
+        self.state = state
+        self.since = now
+        self.strikes = 0
+        self.strike_checked_at = now
+        self.ejected_at = -math.inf
+        self.ejected_until = -math.inf
+        self.quiet_since = None
+        self.restrained = False
+        self.restraint = Restraint.NONE
+        self.cause = NO_FINDING
+        self.assessment = NO_ASSESSMENT
+        self.failed_probe_at = -math.inf
+        self.draining_until = -math.inf
+
+    @property
+    def sickness(self):
+        """How sick the target is; a slow answer is better than none."""
+        gap = self.assessment.finding.gap or self.cause.gap
+        if self.cause.reason.signal is Signal.SLOW:
+            return gap / 2
+        return gap
+
+    def ramp_share(self, ramp_s, now):
+        """Return the share of full traffic that a ramping target gets now."""
+        progress = 1.0 if ramp_s <= 0 else min(1.0, (now - self.since) / ramp_s)
+        share = RAMP_START + (1 - RAMP_START) * progress
+        return round(share / WEIGHT_STEP) * WEIGHT_STEP
+
+    def weight(self, ramp_s, now):
+        """Return the share of traffic against a healthy target."""
+        if self.state is TargetState.HEALTHY:
+            return 1.0
+        if self.state is TargetState.SUSPECT:
+            return FLOOR_WEIGHT if self.restrained else SUSPECT_WEIGHT
+        if self.state is TargetState.PROBATION:
+            return PROBATION_WEIGHT
+        if self.state is TargetState.RAMPING:
+            return self.ramp_share(ramp_s, now)
+        if self.state is TargetState.COLD:
+            return COLD_WEIGHT
+        return 0.0
+
+
+class Roster:
+    """The conditions of all targets of a service, and the rules over them together.
+
+    Parameters
+    ----------
+    service : Service
+    rng : random.Random
+        Jitter of ejection times.
+
+    Attributes
+    ----------
+    dependency_sick : bool
+        Set from outside while a declared dependency is sick; nothing is ejected.
+    floor_slots : int
+        Floor in slots; less than declared when only a part of the targets is seen.
+    """
+
+    def __init__(self, service, rng):
+        self.service = service
+        self.rng = rng
+        self.conditions = {}
+        self.dependency_sick = False
+        self.floor_slots = service.floor_slots
+        self.transitions = []
+
+    def set_targets(self, target_ids, leaving, now):
+        """Follow the list of targets; new ones start cold.
+
+        The first list is taken as healthy, because a host that has just started
+        knows nothing against any target.
+        """
+        first = not self.conditions
+        for target_id in list(self.conditions):
+            if target_id not in target_ids:
+                del self.conditions[target_id]
+        for target_id in target_ids:
+            if target_id not in self.conditions:
+                state = TargetState.HEALTHY if first else TargetState.COLD
+                self.conditions[target_id] = TargetCondition(target_id, state, now)
+            self._follow_leaving(self.conditions[target_id], leaving, now)
+
+    def mark_draining(self, target_id, now):
+        """Take a target out that said itself that it drains."""
+        condition = self.conditions.get(target_id)
+        if condition is None:
+            return
+        condition.draining_until = now + DRAIN_MEMORY_S
+        if condition.state is not TargetState.LEAVING:
+            self._move(condition, TargetEvent.LEAVE, now)
+
+    def update(self, assessments, now):
+        """Apply one round of assessments and return the transitions made.
+
+        Parameters
+        ----------
+        assessments : dict of TargetId to Assessment
+        """
+        self.transitions = []
+        for condition in self.conditions.values():
+            condition.assessment = assessments.get(condition.target_id, NO_ASSESSMENT)
+            before = condition.state
+            self._follow_time(condition, now)
+            # The assessment was made under the state before.
+            if condition.state is before:
+                self._follow_assessment(condition, now)
+        restraint = self._common_restraint()
+        if restraint is not Restraint.NONE:
+            self._readmit_recent(restraint, now)
+        self._eject_sickest(restraint, now)
+        self._readmit_to_floor(now)
+        return self.transitions
+
+    def verdicts(self, long_running, now):
+        """Return one verdict for each target.
+
+        Parameters
+        ----------
+        long_running : dict of TargetId to int
+        """
+        found = []
+        for condition in self.conditions.values():
+            weight = condition.weight(self.service.ramp_s, now)
+            count = long_running.get(condition.target_id, 0)
+            reason = self._reason(condition)
+            found.append(
+                Verdict(condition.target_id, condition.state, weight, reason, count)
+            )
+        return found
+
+    def serving_slots(self, now):
+        """Return the slots of targets that serve and are not known to be sick."""
+        slots = 0
+        for condition in self.conditions.values():
+            slots += self._slots(condition, now)
+        return slots
+
+    def _slots(self, condition, now):
+        each = self.service.slots_per_target
+        if condition.restrained:
+            return 0
+        if condition.state is TargetState.RAMPING:
+            return int(each * condition.ramp_share(self.service.ramp_s, now))
+        if condition.state in SERVING_STATES:
+            return each
+        return 0
+
+    def _reason(self, condition):
+        reason = condition.assessment.finding.reason
+        if condition.state in OUT_STATES or condition.restrained:
+            reason = condition.cause.reason
+        elif condition.state is not TargetState.SUSPECT:
+            return NO_FINDING.reason
+        if condition.restraint is Restraint.NONE:
+            return reason
+        return replace(reason, restraint=condition.restraint)
+
+    def _move(self, condition, event, now):
+        before = condition.state
+        condition.state = TARGET_CHART.next(before, event)
+        condition.since = now
+        condition.quiet_since = None
+        condition.restrained = False
+        condition.restraint = Restraint.NONE
+        condition.strike_checked_at = now
+        self.transitions.append(
+            Transition(condition.target_id, before, condition.state)
+        )
+
+    def _follow_leaving(self, condition, leaving, now):
+        is_leaving = condition.target_id in leaving or now < condition.draining_until
+        if is_leaving and condition.state is not TargetState.LEAVING:
+            self._move(condition, TargetEvent.LEAVE, now)
+        if not is_leaving and condition.state is TargetState.LEAVING:
+            self._move(condition, TargetEvent.RETURN, now)
+
+    def _follow_time(self, condition, now):
+        state = condition.state
+        age_s = now - condition.since
+        if state is TargetState.EJECTED and now >= condition.ejected_until:
+            # A failed probe spares real requests; a good one only opens probation.
+            if now - condition.failed_probe_at >= PROBE_MEMORY_S:
+                self._move(condition, TargetEvent.RETRY, now)
+        elif state is TargetState.RAMPING and age_s >= self.service.ramp_s:
+            self._move(condition, TargetEvent.RAMP_END, now)
+        elif state is TargetState.COLD:
+            if condition.assessment.successes or age_s >= self.service.ramp_s:
+                self._move(condition, TargetEvent.WARM, now)
+        elif state is TargetState.HEALTHY:
+            self._forget_strikes(condition, now)
+
+    def _forget_strikes(self, condition, now):
+        while condition.strikes and now - condition.strike_checked_at >= STRIKE_DECAY_S:
+            condition.strikes -= 1
+            condition.strike_checked_at += STRIKE_DECAY_S
+
+    def _follow_assessment(self, condition, now):
+        state = condition.state
+        if state is TargetState.PROBATION:
+            self._follow_probation(condition, now)
+        elif state is TargetState.SUSPECT:
+            self._follow_suspect(condition, now)
+        elif state in SERVING_STATES and looks_sick(condition):
+            condition.cause = condition.assessment.finding
+            self._move(condition, TargetEvent.DOUBT, now)
+
+    def _follow_probation(self, condition, now):
+        finding = condition.assessment.finding
+        if finding.reason.evidence >= RELAPSE_EVIDENCE and finding.gap >= EJECT_GAP:
+            condition.cause = finding
+            self._move(condition, TargetEvent.RELAPSE, now)
+            self._start_ejection(condition, now)
+        elif is_proven(condition) or (
+            condition.assessment.outcomes == 0
+            and now - condition.since >= PROBATION_UNUSED_S
+            and now - condition.failed_probe_at >= PROBE_MEMORY_S
+        ):
+            self._move(condition, TargetEvent.PROVE, now)
+
+    def _follow_suspect(self, condition, now):
+        if condition.restrained:
+            if is_proven(condition):
+                self._move(condition, TargetEvent.CLEAR, now)
+            return
+        if condition.assessment.finding.reason.evidence >= CLEAR_EVIDENCE:
+            condition.quiet_since = None
+            return
+        if condition.quiet_since is None:
+            condition.quiet_since = now
+        if now - condition.quiet_since >= CLEAR_AFTER_S:
+            self._move(condition, TargetEvent.CLEAR, now)
+
+    def _common_restraint(self):
+        """Return why no target may be ejected now, if so."""
+        if self.dependency_sick:
+            return Restraint.DEPENDENCY_SICK
+        members = sick = 0
+        for condition in self.conditions.values():
+            if condition.state in (TargetState.COLD, TargetState.LEAVING):
+                continue
+            members += 1
+            if condition.state in OUT_STATES or condition.restrained:
+                sick += 1
+                continue
+            if looks_sick(condition):
+                sick += 1
+        if sick * 2 > members:
+            return Restraint.MOST_LOOK_SICK
+        return Restraint.NONE
+
+    def _readmit_recent(self, restraint, now):
+        for condition in self.conditions.values():
+            if condition.state is not TargetState.EJECTED:
+                continue
+            if now - condition.ejected_at > SUPPRESSION_LOOKBACK_S:
+                continue
+            condition.strikes = max(0, condition.strikes - 1)
+            self._readmit(condition, restraint, now)
+
+    def _readmit(self, condition, restraint, now):
+        self._move(condition, TargetEvent.READMIT, now)
+        condition.restrained = True
+        condition.restraint = restraint
+
+    def _eject_sickest(self, restraint, now):
+        candidates = []
+        for condition in self.conditions.values():
+            if condition.state is TargetState.SUSPECT and is_ejectable(condition):
+                candidates.append(condition)
+        candidates.sort(key=lambda condition: condition.sickness, reverse=True)
+        for condition in candidates:
+            condition.cause = condition.assessment.finding
+            if restraint is not Restraint.NONE:
+                condition.restraint = restraint
+                continue
+            if not self._floor_allows(condition, now):
+                condition.restrained = True
+                condition.restraint = Restraint.FLOOR
+                continue
+            self._move(condition, TargetEvent.EJECT, now)
+            self._start_ejection(condition, now)
+
+    def _floor_allows(self, condition, now):
+        # The floor is counted anew for each ejection, because the one before has
+        # changed it.
+        left = self.serving_slots(now) - self._slots(condition, now)
+        return left >= self.floor_slots
+
+    def _start_ejection(self, condition, now):
+        condition.strikes += 1
+        length_s = EJECTION_MIN_S * 2 ** min(condition.strikes - 1, 16)
+        length_s = min(length_s, EJECTION_MAX_S)
+        length_s *= 1 + self.rng.uniform(0, EJECTION_JITTER)
+        condition.ejected_at = now
+        condition.ejected_until = now + length_s
+
+    def _readmit_to_floor(self, now):
+        slots = self.serving_slots(now)
+        out = []
+        for condition in self.conditions.values():
+            if condition.restrained:
+                slots += self.service.slots_per_target
+            if condition.state in OUT_STATES:
+                out.append(condition)
+        out.sort(key=lambda condition: condition.cause.gap)
+        for condition in out:
+            if slots >= self.floor_slots:
+                return
+            self._readmit(condition, Restraint.FLOOR, now)
+            slots += self.service.slots_per_target
+
+
+def looks_sick(condition):
+    """Tell whether the evidence is enough to doubt a target."""
+    finding = condition.assessment.finding
+    return finding.reason.evidence >= DOUBT_EVIDENCE and finding.gap >= DOUBT_GAP
+
+
+def is_ejectable(condition):
+    """Tell whether the evidence is enough to eject a target."""
+    finding = condition.assessment.finding
+    return finding.reason.evidence >= EJECT_EVIDENCE and finding.gap >= EJECT_GAP
+
+
+def is_proven(condition):
+    """Tell whether real traffic has cleared a target that was sick."""
+    if condition.assessment.successes < PROBATION_SUCCESSES:
+        return False
+    return condition.assessment.finding.reason.evidence < CLEAR_EVIDENCE
--- /dev/null
+++ b/oleanderroute/decisions/service_router.py
@@ -0,0 +1,254 @@
+"""Routing of one service on one host: verdicts, own observations, and the choice."""
+
+import math
+from dataclasses import dataclass
+
+from ..ids import TargetId
+from ..outcome import Attempt, RequestClass
+from .choice import CandidateTable, TargetView, choose_long, choose_quick
+from .detection import DetectionPool
+from .ejection import COLD_WEIGHT, DRAIN_MEMORY_S
+from .verdict import TargetState, VerdictReason
+
+VERDICT_LIFETIME_S = 30.0
+LOCAL_PERIOD_S = 1.0
+# Version that asks the aggregator for all verdicts instead of a difference.
+NO_VERSION = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetExplanation:
+    """Why a target gets the traffic it gets, as shown to operators.
+
+    Attributes
+    ----------
+    weight : float
+        Share of traffic against a healthy target, between 0 and 1.
+    is_leaving : bool
+        Whether the target is excluded by the host list or by a drain answer.
+    latency_s : float
+        Latency estimate of quick requests.
+    avoided_for_s : float
+        Remaining time in which own failures or refusals steer away from it.
+    verdict_age_s : float
+        Time since the aggregator's last word.
+    is_local : bool
+        Whether own outcomes took the place of verdicts that are too old.
+    """
+
+    target_id: TargetId
+    state: TargetState
+    weight: float
+    reason: VerdictReason
+    is_leaving: bool
+    quick_in_flight: int
+    long_in_flight: int
+    long_elsewhere: int
+    latency_s: float
+    avoided_for_s: float
+    verdict_age_s: float
+    is_local: bool
+
+
+class ServiceRouter:
+    """Chooses targets of one service on one host.
+
+    Parameters
+    ----------
+    service : Service
+    host_id : HostId
+    failure_domain : FailureDomain
+    clock : Clock
+    rng : random.Random
+
+    Attributes
+    ----------
+    verdict_version : int
+        Version to send with reports; 0 asks for all verdicts.
+    """
+
+    def __init__(self, service, host_id, failure_domain, clock, rng):
+        self.service = service
+        self.host_id = host_id
+        self.failure_domain = failure_domain
+        self.rng = rng
+        self.pool = DetectionPool(service, clock, rng)
+        self.views = {}
+        self.verdict_version = NO_VERSION
+        self.verdicts_at = clock.now()
+        self.is_local = False
+        self.local_evaluated_at = -math.inf
+        self.long_limit = 0
+        self.steady = CandidateTable([])
+        self.idempotent = CandidateTable([])
+        self.set_targets(service.targets, frozenset())
+
+    def set_targets(self, targets, leaving, service_targets=None):
+        """Follow the list of targets.
+
+        Parameters
+        ----------
+        targets : iterable of Target
+            Targets that this host may use.
+        leaving : set of TargetId
+            Members that get no new work from now on.
+        service_targets : int, optional
+            Number of targets of the whole service, when ``targets`` is a subset.
+        """
+        targets = list(targets)
+        first = not self.views
+        views = {}
+        for target in targets:
+            view = self.views.get(target.target_id)
+            if view is None:
+                view = self._new_view(target, first)
+            view.target = target
+            view.leaving = target.target_id in leaving
+            views[target.target_id] = view
+        self.views = views
+        self.pool.set_targets(list(views), leaving, service_targets)
+        self._rebuild()
+
+    def choose(self, request_class, excluded, idempotent, now):
+        """Choose a target.
+
+        Parameters
+        ----------
+        request_class : RequestClass
+        excluded : frozenset of TargetId
+            Targets that this request must not try again.
+        idempotent : bool
+            Whether the request may help to clear a target on probation.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Choice
+        """
+        if now - self.verdicts_at > VERDICT_LIFETIME_S:
+            self._judge_locally(now)
+        table = self.idempotent if idempotent else self.steady
+        if request_class is RequestClass.LONG:
+            return choose_long(
+                table, excluded, self.long_limit, self.rng, now, self.is_local
+            )
+        return choose_quick(table, excluded, self.rng, now, self.is_local)
+
+    def started(self, target_id, request_class, now):
+        """Count a request that is sent to a target."""
+        view = self.views.get(target_id)
+        if view is None:
+            return
+        if request_class is RequestClass.LONG:
+            view.long += 1
+        else:
+            view.quick += 1
+
+    def finished(self, attempt: Attempt, now):
+        """Count the end of a request that was counted by `started`."""
+        view = self.views.get(attempt.target_id)
+        if view is None:
+            return
+        if attempt.request_class is RequestClass.LONG:
+            view.long = max(0, view.long - 1)
+        else:
+            view.quick = max(0, view.quick - 1)
+        view.record(attempt, now)
+        self.pool.observe(self.host_id, attempt, now)
+
+    def apply_verdicts(self, version, verdicts, now):
+        """Take over verdicts of the aggregator.
+
+        Parameters
+        ----------
+        version : int
+            Version of the aggregator's view, sent back with the next report.
+        verdicts : iterable of Verdict
+            Those that changed; all of them when the last version sent was 0. An
+            empty one says that the view still holds.
+        now : float
+            Monotonic time in seconds.
+        """
+        self.verdict_version = version
+        self.verdicts_at = now
+        self.is_local = False
+        for verdict in verdicts:
+            view = self.views.get(verdict.target_id)
+            if view is None:
+                continue
+            self._apply(view, verdict)
+            # The count includes what this host reported itself.
+            view.long_elsewhere = max(0, verdict.long_running - view.long)
+        if verdicts:
+            self._rebuild()
+
+    def mark_draining(self, target_id, now):
+        """Exclude a target that answered that it drains."""
+        view = self.views.get(target_id)
+        if view is None:
+            return
+        view.draining_until = now + DRAIN_MEMORY_S
+        self.pool.mark_draining(target_id, now)
+        self._rebuild()
+
+    def explain(self, target_id, now):
+        """Return a `TargetExplanation`, or None for an unknown target."""
+        view = self.views.get(target_id)
+        if view is None:
+            return None
+        return TargetExplanation(
+            target_id,
+            view.state,
+            view.weight,
+            view.reason,
+            self._is_leaving(view),
+            view.quick,
+            view.long,
+            view.long_elsewhere,
+            view.latency_s,
+            max(0.0, view.penalty_until - now),
+            now - self.verdicts_at,
+            self.is_local,
+        )
+
+    def _new_view(self, target, first):
+        slots = self.service.slots_per_target
+        if first:
+            return TargetView(target, slots, TargetState.HEALTHY, 1.0)
+        return TargetView(target, slots, TargetState.COLD, COLD_WEIGHT)
+
+    def _apply(self, view, verdict):
+        view.state = verdict.state
+        view.weight = verdict.weight
+        view.reason = verdict.reason
+
+    def _judge_locally(self, now):
+        if now - self.local_evaluated_at < LOCAL_PERIOD_S:
+            return
+        self.local_evaluated_at = now
+        if not self.is_local:
+            self.is_local = True
+            self.verdict_version = NO_VERSION
+        for verdict in self.pool.evaluate(now):
+            view = self.views[verdict.target_id]
+            self._apply(view, verdict)
+            view.long_elsewhere = 0
+        self._rebuild()
+
+    def _is_leaving(self, view):
+        return view.leaving or view.draining_until > self.pool.clock.now()
+
+    def _rebuild(self):
+        steady = []
+        idempotent = []
+        for view in self.views.values():
+            if view.weight <= 0.0 or self._is_leaving(view):
+                continue
+            idempotent.append(view)
+            if view.state is not TargetState.PROBATION:
+                steady.append(view)
+        self.steady = CandidateTable(steady)
+        self.idempotent = CandidateTable(idempotent)
+        slots = len(steady) * self.service.slots_per_target
+        self.long_limit = int(self.service.long_share * slots)
--- /dev/null
+++ b/oleanderroute/decisions/windows.py
@@ -0,0 +1,196 @@
+"""Sliding windows over the outcomes of one target and request class.
+
+Time is cut into slices of ``SLICE_S``. A window of n slices holds the current
+slice and the n - 1 before it; its totals are kept up to date as slices come and
+go, so that reading them costs nothing.
+"""
+
+import math
+from collections import deque
+
+from ..outcome import AttemptKind
+
+SLICE_S = 0.5
+# The short window finds sudden faults, the long one partial faults and those of
+# services with little traffic.
+WINDOW_LENGTHS_S = (2.0, 10.0, 60.0)
+# Neighbouring latency classes differ by 10%, so a quantile errs by less than that.
+LATENCY_STEP = math.log(1.1)
+LATENCY_FLOOR_S = 0.0001
+HARD_KINDS = frozenset(
+    {AttemptKind.CONNECT_FAILED, AttemptKind.TIMEOUT, AttemptKind.BROKEN}
+)
+# A run of failures with longer gaps than this no longer describes the present.
+RUN_MEMORY_S = 60.0
+
+
+def latency_class(latency_s):
+    """Return the number of the logarithmic class of a latency in seconds."""
+    if latency_s <= LATENCY_FLOOR_S:
+        return 0
+    return 1 + int(math.log(latency_s / LATENCY_FLOOR_S) / LATENCY_STEP)
+
+
+def class_bound_s(number):
+    """Return the upper bound of a latency class in seconds."""
+    return LATENCY_FLOOR_S * math.exp(number * LATENCY_STEP)
+
+
+class Tally:
+    """Counts of outcomes by kind and of successes by latency class.
+
+    Attributes
+    ----------
+    by_kind : list of int
+        Attempts by `AttemptKind`; a sampled success counts with its weight.
+    ok_samples : int
+        Successes that were really seen, each counted once.
+    latencies : dict of int to int
+        Latency class to the weight of its successes.
+    """
+
+    __slots__ = ("by_kind", "ok_samples", "latencies")
+
+    def __init__(self):
+        self.by_kind = [0] * len(AttemptKind)
+        self.ok_samples = 0
+        self.latencies = {}
+
+    def add(self, kind, number, weight):
+        """Count an outcome; ``number`` is the latency class of a success."""
+        self.by_kind[kind] += weight
+        if kind is not AttemptKind.OK:
+            return
+        self.ok_samples += 1
+        self.latencies[number] = self.latencies.get(number, 0) + weight
+
+    def subtract(self, other):
+        """Take the counts of ``other``, which were added before, away again."""
+        for kind, count in enumerate(other.by_kind):
+            self.by_kind[kind] -= count
+        self.ok_samples -= other.ok_samples
+        for number, weight in other.latencies.items():
+            left = self.latencies[number] - weight
+            if left:
+                self.latencies[number] = left
+            else:
+                del self.latencies[number]
+
+    def quantile_s(self, share):
+        """Return the latency in seconds below which ``share`` of successes lie.
+
+        Returns None without a success.
+        """
+        total = self.by_kind[AttemptKind.OK]
+        if total == 0:
+            return None
+        wanted = share * total
+        seen = 0
+        for number in sorted(self.latencies):
+            seen += self.latencies[number]
+            if seen >= wanted:
+                return class_bound_s(number)
+        return class_bound_s(max(self.latencies))
+
+    def share_above(self, limit_s):
+        """Return the share of successes in classes above that of ``limit_s``."""
+        total = self.by_kind[AttemptKind.OK]
+        if total == 0:
+            return 0.0
+        limit = latency_class(limit_s)
+        above = 0
+        for number, weight in self.latencies.items():
+            if number > limit:
+                above += weight
+        return above / total
+
+
+class Slice:
+    """The tally of one slice of time."""
+
+    __slots__ = ("index", "tally")
+
+    def __init__(self, index):
+        self.index = index
+        self.tally = Tally()
+
+
+class SlidingWindow:
+    """Totals over the newest slices.
+
+    Parameters
+    ----------
+    length_s : float
+        Length in seconds, a multiple of ``SLICE_S``.
+    """
+
+    __slots__ = ("length_s", "slice_count", "slices", "total")
+
+    def __init__(self, length_s):
+        self.length_s = length_s
+        self.slice_count = round(length_s / SLICE_S)
+        self.slices = deque()
+        self.total = Tally()
+
+    def expire(self, index):
+        """Drop the slices that lie outside the window ending in slice ``index``."""
+        oldest = index - self.slice_count + 1
+        while self.slices and self.slices[0].index < oldest:
+            self.total.subtract(self.slices.popleft().tally)
+
+
+class OutcomeWindows:
+    """All windows of one target and request class, and its run of hard failures.
+
+    Attributes
+    ----------
+    windows : tuple of SlidingWindow
+        By rising length; they share their slices.
+    hard_run : int
+        Hard failures since the last other outcome.
+    """
+
+    def __init__(self):
+        self.windows = tuple(SlidingWindow(length) for length in WINDOW_LENGTHS_S)
+        self.current = None
+        self.hard_run = 0
+        self.hard_at = -math.inf
+        self.hard_kind = None
+        self.other_at = -math.inf
+
+    def observe(self, kind, latency_s, weight, now):
+        """Count an outcome at monotonic time ``now`` in seconds."""
+        self.advance(now)
+        index = int(now / SLICE_S)
+        if self.current is None or index > self.current.index:
+            self.current = Slice(index)
+            for window in self.windows:
+                window.slices.append(self.current)
+        number = latency_class(latency_s) if kind is AttemptKind.OK else 0
+        self.current.tally.add(kind, number, weight)
+        for window in self.windows:
+            window.total.add(kind, number, weight)
+        self._follow_run(kind, weight, now)
+
+    def advance(self, now):
+        """Drop what is too old at ``now``."""
+        index = int(now / SLICE_S)
+        for window in self.windows:
+            window.expire(index)
+        if self.current is not None and not self.windows[-1].slices:
+            self.current = None
+        if now - self.hard_at > RUN_MEMORY_S:
+            self.hard_run = 0
+
+    def _follow_run(self, kind, weight, now):
+        # A report gives counts without their order. Outcomes that arrive together
+        # only make a run when none of them is another kind of outcome.
+        if kind not in HARD_KINDS:
+            self.hard_run = 0
+            self.other_at = now
+            return
+        if now <= self.other_at:
+            return
+        self.hard_run += weight
+        self.hard_at = now
+        self.hard_kind = kind
