--- /dev/null
+++ b/oleanderroute/decisions/claims.py
@@ -0,0 +1,44 @@
+"""At-most-once claims: the holder's table, the entry's round, the holder view."""
+
+from .claim_round import ClaimRound
+from .claim_table import ClaimTable, key_age_refusal
+from .claim_types import (
+    BootstrapMember,
+    BootstrapRecord,
+    ClaimDecision,
+    ClaimExport,
+    ClaimLimits,
+    ClaimVote,
+    DecisionKind,
+    DecisionReason,
+    RankedHost,
+    RecordedAnswer,
+    StartedHost,
+    UpdateResult,
+    VoteKind,
+    VoteReason,
+    first_fleet_record,
+)
+from .holder_view import HolderView
+
+__all__ = [
+    "BootstrapMember",
+    "BootstrapRecord",
+    "ClaimDecision",
+    "ClaimExport",
+    "ClaimLimits",
+    "ClaimRound",
+    "ClaimTable",
+    "ClaimVote",
+    "DecisionKind",
+    "DecisionReason",
+    "HolderView",
+    "RankedHost",
+    "RecordedAnswer",
+    "StartedHost",
+    "UpdateResult",
+    "VoteKind",
+    "VoteReason",
+    "first_fleet_record",
+    "key_age_refusal",
+]
--- /dev/null
+++ b/oleanderroute/decisions/holder_view.py
@@ -0,0 +1,226 @@
+"""Which hosts hold the claim of a key, as one host sees it."""
+
+import hashlib
+
+from .claim_types import HOLDERS_PER_KEY, ClaimLimits
+
+
+def rank_score(key, host_id):
+    """Return the rendezvous weight of a host for a key; the highest ranks first."""
+    # A space occurs in neither host ids nor claim keys.
+    text = f"{key} {host_id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def rank_distinct_domains(key, hosts, count):
+    """Return the first-ranked hosts of distinct failure domains.
+
+    Parameters
+    ----------
+    key : str
+    hosts : iterable of RankedHost
+    count : int
+
+    Returns
+    -------
+    list of HostId
+        At most ``count``, best first.
+    """
+    best_of_domain = {}
+    for host in hosts:
+        candidate = (rank_score(key, host.host_id), host.host_id)
+        current = best_of_domain.get(host.failure_domain)
+        if current is not None and current >= candidate:
+            continue
+        best_of_domain[host.failure_domain] = candidate
+    ranked = sorted(best_of_domain.values(), reverse=True)
+    return [host_id for _, host_id in ranked[:count]]
+
+
+class HolderView:
+    """The hosts that this process ranks, and how long it has followed the list.
+
+    It ranks hosts that are live, leaving, or departed within the claim lifetime
+    plus the list staleness. Only hosts of the service's region belong in it.
+
+    Parameters
+    ----------
+    host_id : HostId
+        The host of this process.
+    incarnation : Incarnation
+    lifetime_s : float
+        Lifetime of claims.
+    started_at : float
+        Monotonic seconds at which this process started.
+    limits : ClaimLimits
+
+    Attributes
+    ----------
+    listed_since : float or None
+        Monotonic time in seconds since which this process has seen itself listed
+        without an interruption.
+    confirmed_at : float or None
+        Monotonic time in seconds at which the platform last confirmed the list.
+    """
+
+    def __init__(self, host_id, incarnation, lifetime_s, started_at, limits=None):
+        self.host_id = host_id
+        self.incarnation = incarnation
+        self.lifetime_s = lifetime_s
+        self.started_at = started_at
+        self.limits = limits or ClaimLimits()
+        self.version = -1
+        self.present = {}
+        self.departed = {}
+        self.departed_at = {}
+        self.listed_since = None
+        self.confirmed_at = None
+        self.is_bootstrap_member = False
+        self.may_bootstrap = True
+
+    @property
+    def retention_s(self):
+        """Seconds for which a departed host stays ranked."""
+        # A host that left the list may vote until its own list counts as stale.
+        return self.lifetime_s + self.limits.list_staleness_s
+
+    def update(self, version, hosts, now):
+        """Take over a newer host list; an older or equal one is ignored.
+
+        Parameters
+        ----------
+        version : int
+        hosts : iterable of RankedHost
+            The live and leaving hosts of the region.
+        now : float
+            Monotonic seconds, read after the list arrived.
+        """
+        if version <= self.version:
+            return
+        self.version = version
+        listed = {host.host_id: host for host in hosts}
+        for host_id, host in self.present.items():
+            if host_id in listed:
+                continue
+            self.departed[host_id] = host
+            self.departed_at[host_id] = now
+        for host_id in listed:
+            self.departed.pop(host_id, None)
+            self.departed_at.pop(host_id, None)
+        self.present = listed
+        self.forget_departed(now)
+        self._follow_own_listing(now)
+
+    def _follow_own_listing(self, now):
+        if self.host_id not in self.present:
+            self._restart_age(None)
+            return
+        if self.listed_since is None:
+            self.listed_since = now
+
+    def confirm(self, version, confirmed_at, now):
+        """Record that the list was current on the platform at ``confirmed_at``.
+
+        A confirmation of another version than the one in use is ignored.
+
+        Parameters
+        ----------
+        version : int
+        confirmed_at : float
+            Monotonic seconds of this process. With the platform, when the call was
+            sent. With a peer of the same list version, the call's sending time
+            less the age of the peer's own confirmation, so that two hosts cannot
+            keep an old list alive between them.
+        now : float
+            Monotonic seconds, read after the confirmation arrived.
+        """
+        if version != self.version:
+            return
+        if self.confirmed_at is None:
+            self.confirmed_at = confirmed_at
+            return
+        if confirmed_at <= self.confirmed_at:
+            return
+        # A host that came and went unseen in a long gap would not be ranked.
+        if confirmed_at - self.confirmed_at >= self.lifetime_s:
+            self._restart_age(now)
+        self.confirmed_at = confirmed_at
+
+    def _restart_age(self, now):
+        if self.listed_since is None:
+            return
+        self.listed_since = now
+        self.is_bootstrap_member = False
+        self.may_bootstrap = False
+
+    def absorb_bootstrap(self, record, now):
+        """Take the bootstrap record into account.
+
+        Members that the list does not show are ranked as if they had just left,
+        so that members with different first lists agree on who can have voted.
+
+        Parameters
+        ----------
+        record : BootstrapRecord
+        now : float
+            Monotonic seconds.
+        """
+        if not record.includes(self.host_id, self.incarnation):
+            return
+        if not self.may_bootstrap or self.listed_since is None:
+            return
+        # Later, a host outside the record may have voted and left unseen.
+        if now - self.started_at >= self.lifetime_s:
+            return
+        for member in record.members:
+            host = member.host
+            if host.host_id in self.present or host.host_id in self.departed:
+                continue
+            self.departed[host.host_id] = host
+            self.departed_at[host.host_id] = now
+        self.is_bootstrap_member = True
+
+    def forget_departed(self, now):
+        """Drop departed hosts that no live claim can involve any more."""
+        expired = []
+        for host_id, departed_at in self.departed_at.items():
+            if now - departed_at < self.retention_s:
+                continue
+            expired.append(host_id)
+        for host_id in expired:
+            del self.departed[host_id]
+            del self.departed_at[host_id]
+
+    def holders(self, key, now):
+        """Return the holders of a key, best first.
+
+        Parameters
+        ----------
+        key : ClaimKey
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of HostId
+        """
+        self.forget_departed(now)
+        ranked = [*self.present.values(), *self.departed.values()]
+        return rank_distinct_domains(key, ranked, HOLDERS_PER_KEY)
+
+    def is_confirmed(self, now):
+        """Return whether the list is recent enough to vote by."""
+        if self.confirmed_at is None:
+            return False
+        return now - self.confirmed_at < self.limits.list_staleness_s
+
+    def is_old_enough(self, now):
+        """Return whether this process knows every claim that may still be live."""
+        if self.is_bootstrap_member:
+            return True
+        if self.listed_since is None:
+            return False
+        # The staleness is added because a voter with an older list may have granted
+        # without this host for that long after it was listed.
+        required_s = self.lifetime_s + self.limits.list_staleness_s
+        return now - self.listed_since >= required_s
