--- /dev/null
+++ b/oleanderroute/decisions/quarantine.py
@@ -0,0 +1,179 @@
+"""Requests that crash the targets that run them."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import TargetId
+
+# Distinct targets, because one sick target breaks the connections of any request.
+DEATHS_TO_REFUSE = 2
+REFUSAL_S = 300.0
+# How long the first death waits for the second.
+SUSPICION_S = 300.0
+MAX_FINGERPRINTS = 4096
+# Deaths beyond these change no decision, so they need not be kept.
+MAX_DEATHS_KEPT = 16
+
+
+class CrashReason(Enum):
+    """What a crash says about its request."""
+
+    FIRST_DEATH = "first-death"
+    SAME_TARGET = "same-target"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashVerdict:
+    """The consequence of one recorded crash.
+
+    Attributes
+    ----------
+    is_refused : bool
+    excused : tuple of TargetId
+        Targets whose death must not count towards ejection; the earlier deaths of
+        the fingerprint are among them when this one confirms them.
+    """
+
+    is_refused: bool
+    reason: CrashReason
+    excused: tuple[TargetId, ...]
+
+
+@dataclass(slots=True)
+class CrashRecord:
+    """Deaths under one fingerprint.
+
+    Attributes
+    ----------
+    deaths : dict of TargetId to float
+        Monotonic time in seconds of the latest death.
+    refused_until : float or None
+    """
+
+    deaths: dict
+    refused_until: float | None = None
+
+
+class Quarantine:
+    """Counts target deaths by request fingerprint and refuses confirmed causes.
+
+    Parameters
+    ----------
+    clock : Clock
+    max_fingerprints : int
+        Suspected and refused fingerprints kept; the oldest suspects go first.
+    """
+
+    def __init__(self, clock, max_fingerprints=MAX_FINGERPRINTS):
+        self.clock = clock
+        self.max_fingerprints = max_fingerprints
+        self.suspected = {}
+        self.refused = {}
+
+    def is_refused(self, fingerprint, now):
+        """Return whether a request must not run now.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+        now : float
+            Monotonic seconds.
+        """
+        record = self.refused.get(fingerprint)
+        if record is None:
+            return False
+        if now < record.refused_until:
+            return True
+        del self.refused[fingerprint]
+        return False
+
+    def record_crash(self, fingerprint, target_id, now):
+        """Count a connection that broke while the request ran on a target.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+        target_id : TargetId
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        CrashVerdict
+        """
+        if self.is_refused(fingerprint, now):
+            return self._record_late_death(fingerprint, target_id, now)
+        record = self._suspect(fingerprint, now)
+        is_known = target_id in record.deaths
+        record.deaths[target_id] = now
+        if len(record.deaths) >= DEATHS_TO_REFUSE:
+            return self._refuse(fingerprint, record, now)
+        reason = CrashReason.SAME_TARGET if is_known else CrashReason.FIRST_DEATH
+        return CrashVerdict(False, reason, ())
+
+    def absorb_notice(self, fingerprint, target_id, now):
+        """Count a crash that a peer saw; the same as one seen here.
+
+        A target that died for both counts once.
+        """
+        return self.record_crash(fingerprint, target_id, now)
+
+    def is_excused(self, fingerprint, target_id, now):
+        """Return whether a death must not count towards ejection.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+        target_id : TargetId
+        now : float
+            Monotonic seconds.
+        """
+        if not self.is_refused(fingerprint, now):
+            return False
+        return target_id in self.refused[fingerprint].deaths
+
+    def _suspect(self, fingerprint, now):
+        # Re-insertion keeps the suspects in the order of their latest death.
+        record = self.suspected.pop(fingerprint, None) or CrashRecord({})
+        for target_id, died_at in list(record.deaths.items()):
+            if now - died_at >= SUSPICION_S:
+                del record.deaths[target_id]
+        self.suspected[fingerprint] = record
+        self._forget_oldest(now)
+        return record
+
+    def _refuse(self, fingerprint, record, now):
+        del self.suspected[fingerprint]
+        record.refused_until = now + REFUSAL_S
+        self.refused[fingerprint] = record
+        self._forget_oldest(now)
+        return CrashVerdict(True, CrashReason.QUARANTINED, tuple(record.deaths))
+
+    def _record_late_death(self, fingerprint, target_id, now):
+        """Count a death by a run that had started before the refusal."""
+        record = self.refused[fingerprint]
+        is_known = target_id in record.deaths
+        if not is_known and len(record.deaths) < MAX_DEATHS_KEPT:
+            record.deaths[target_id] = now
+        return CrashVerdict(True, CrashReason.QUARANTINED, (target_id,))
+
+    def _forget_oldest(self, now):
+        self._forget_ended(now)
+        while len(self.suspected) + len(self.refused) > self.max_fingerprints:
+            oldest_of = self.suspected if len(self.suspected) > 1 else self.refused
+            del oldest_of[next(iter(oldest_of))]
+
+    def _forget_ended(self, now):
+        """Drop refusals and suspicions that have ended, oldest first."""
+        while self.refused:
+            fingerprint = next(iter(self.refused))
+            if now < self.refused[fingerprint].refused_until:
+                break
+            del self.refused[fingerprint]
+        while self.suspected:
+            fingerprint = next(iter(self.suspected))
+            deaths = self.suspected[fingerprint].deaths
+            if not deaths or now - max(deaths.values()) < SUSPICION_S:
+                break
+            del self.suspected[fingerprint]
