--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -146,6 +146,18 @@
 struct Ack {
 }
 
+struct HostListRequest {
+  1: required i64 known_version
+}
+
+struct HostListReply {
+  1: required i64 version
+  // Version that the document builds on; 0 for a complete list.
+  2: optional i64 base_version
+  // Compressed JSON; absent if the requester's version is not older.
+  3: optional binary document
+}
+
 union RequestBody {
   1: OutcomeReport outcome_report
   2: ClaimRequest claim_request
@@ -156,6 +168,7 @@
   7: SlotRequest slot_request
   8: CrashNotice crash_notice
   9: StatusRequest status_request
+  10: HostListRequest host_list_request
 }
 
 union ReplyBody {
@@ -166,6 +179,7 @@
   5: ChunkReply chunk_reply
   6: SlotReply slot_reply
   7: StatusReply status_reply
+  8: HostListReply host_list_reply
 }
 
 struct PeerRequest {
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -2355,6 +2355,170 @@
         return not (self == other)
 
 
+class HostListRequest(object):
+    """
+    Attributes:
+     - known_version
+
+    """
+
+    __slots__ = (
+        'known_version',
+    )
+
+
+    def __init__(self, known_version=None,):
+        self.known_version = known_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostListRequest')
+        if self.known_version is not None:
+            oprot.writeFieldBegin('known_version', TType.I64, 1)
+            oprot.writeI64(self.known_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.known_version is None:
+            raise TProtocolException(message='Required field known_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostListReply(object):
+    """
+    Attributes:
+     - version
+     - base_version
+     - document
+
+    """
+
+    __slots__ = (
+        'version',
+        'base_version',
+        'document',
+    )
+
+
+    def __init__(self, version=None, base_version=None, document=None,):
+        self.version = version
+        self.base_version = base_version
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostListReply')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 2)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 3)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RequestBody(object):
     """
     Attributes:
@@ -2367,6 +2531,7 @@
      - slot_request
      - crash_notice
      - status_request
+     - host_list_request
 
     """
 
@@ -2380,10 +2545,11 @@
         'slot_request',
         'crash_notice',
         'status_request',
+        'host_list_request',
     )
 
 
-    def __init__(self, outcome_report=None, claim_request=None, claim_update=None, claim_handover=None, manifest_request=None, chunk_request=None, slot_request=None, crash_notice=None, status_request=None,):
+    def __init__(self, outcome_report=None, claim_request=None, claim_update=None, claim_handover=None, manifest_request=None, chunk_request=None, slot_request=None, crash_notice=None, status_request=None, host_list_request=None,):
         self.outcome_report = outcome_report
         self.claim_request = claim_request
         self.claim_update = claim_update
@@ -2393,6 +2559,7 @@
         self.slot_request = slot_request
         self.crash_notice = crash_notice
         self.status_request = status_request
+        self.host_list_request = host_list_request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2457,6 +2624,12 @@
                     self.status_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.host_list_request = HostListRequest()
+                    self.host_list_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2503,6 +2676,10 @@
             oprot.writeFieldBegin('status_request', TType.STRUCT, 9)
             self.status_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.host_list_request is not None:
+            oprot.writeFieldBegin('host_list_request', TType.STRUCT, 10)
+            self.host_list_request.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2538,6 +2715,7 @@
      - chunk_reply
      - slot_reply
      - status_reply
+     - host_list_reply
 
     """
 
@@ -2549,10 +2727,11 @@
         'chunk_reply',
         'slot_reply',
         'status_reply',
+        'host_list_reply',
     )
 
 
-    def __init__(self, verdict_delta=None, claim_reply=None, ack=None, manifest_reply=None, chunk_reply=None, slot_reply=None, status_reply=None,):
+    def __init__(self, verdict_delta=None, claim_reply=None, ack=None, manifest_reply=None, chunk_reply=None, slot_reply=None, status_reply=None, host_list_reply=None,):
         self.verdict_delta = verdict_delta
         self.claim_reply = claim_reply
         self.ack = ack
@@ -2560,6 +2739,7 @@
         self.chunk_reply = chunk_reply
         self.slot_reply = slot_reply
         self.status_reply = status_reply
+        self.host_list_reply = host_list_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2612,6 +2792,12 @@
                     self.status_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.host_list_reply = HostListReply()
+                    self.host_list_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2650,6 +2836,10 @@
             oprot.writeFieldBegin('status_reply', TType.STRUCT, 7)
             self.status_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.host_list_reply is not None:
+            oprot.writeFieldBegin('host_list_reply', TType.STRUCT, 8)
+            self.host_list_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3034,6 +3224,18 @@
 all_structs.append(Ack)
 Ack.thrift_spec = (
 )
+all_structs.append(HostListRequest)
+HostListRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_version', None, None, ),  # 1
+)
+all_structs.append(HostListReply)
+HostListReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I64, 'base_version', None, None, ),  # 2
+    (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
+)
 all_structs.append(RequestBody)
 RequestBody.thrift_spec = (
     None,  # 0
@@ -3046,6 +3248,7 @@
     (7, TType.STRUCT, 'slot_request', [SlotRequest, None], None, ),  # 7
     (8, TType.STRUCT, 'crash_notice', [CrashNotice, None], None, ),  # 8
     (9, TType.STRUCT, 'status_request', [StatusRequest, None], None, ),  # 9
+    (10, TType.STRUCT, 'host_list_request', [HostListRequest, None], None, ),  # 10
 )
 all_structs.append(ReplyBody)
 ReplyBody.thrift_spec = (
@@ -3057,6 +3260,7 @@
     (5, TType.STRUCT, 'chunk_reply', [ChunkReply, None], None, ),  # 5
     (6, TType.STRUCT, 'slot_reply', [SlotReply, None], None, ),  # 6
     (7, TType.STRUCT, 'status_reply', [StatusReply, None], None, ),  # 7
+    (8, TType.STRUCT, 'host_list_reply', [HostListReply, None], None, ),  # 8
 )
 all_structs.append(PeerRequest)
 PeerRequest.thrift_spec = (
--- a/oleanderroute/platform/publish.py
+++ b/oleanderroute/platform/publish.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from dataclasses import dataclass
+from enum import Enum
 
 from .. import events
 from ..declaration.assembly import Assembler
@@ -85,6 +86,14 @@
         return 0 if self.manifest is None else self.manifest.revision
 
 
+class SwapOutcome(Enum):
+    """What the store shows of a swap. ``PENDING`` may still become effective."""
+
+    EFFECTIVE = "effective"
+    SUPERSEDED = "superseded"
+    PENDING = "pending"
+
+
 @dataclass(frozen=True, slots=True)
 class Applied:
     """A revision that the store accepted.
@@ -256,74 +265,54 @@
                     raise
             backoff_s = await self.back_off(backoff_s)
 
-    async def swap_head(self, manifest, head):
-        """Replace ``head`` by ``manifest``, or find out why not.
+    async def swap_head(self, manifest, base):
+        """Replace ``base`` by ``manifest``, or find out why not.
 
-        A repeated swap is safe: it expects the version of ``head``, so that it takes
+        A repeated swap is safe: it expects the version of ``base``, so that it takes
         effect at most once.
         """
         deadline = self.clock.now() + self.time_limit_s
         backoff_s = FIRST_BACKOFF_S
-        attempted = False
         while True:
             try:
                 await self.store.put(
-                    HEAD_KEY, manifest.encode(), head.version, cause="head"
+                    HEAD_KEY, manifest.encode(), base.version, cause="head"
                 )
                 return
             except StoreConflict:
-                if await self.took_effect(manifest, head, deadline):
-                    return
-                raise await self.conflict(
-                    head.revision, await self.read_head()
-                ) from None
+                pass
             except StoreUnavailable:
-                attempted = True
+                backoff_s = await self.back_off(backoff_s)
+            outcome = await self.find_outcome(manifest, base)
+            if outcome is SwapOutcome.EFFECTIVE:
+                return
+            if outcome is SwapOutcome.SUPERSEDED:
+                head = await self.read_head()
+                raise await self.conflict(base.revision, head)
             if self.clock.now() >= deadline:
-                break
-            backoff_s = await self.back_off(backoff_s)
-        if attempted and await self.is_head(manifest):
-            return
-        raise ApplyUnknown(manifest.revision, manifest.change.nonce)
+                raise ApplyUnknown(manifest.revision, manifest.change.nonce)
 
     async def back_off(self, backoff_s):
         """Sleep a jittered time and return the next base time, in seconds."""
         await self.sleep(backoff_s * self.rng.uniform(0.5, 1.0))
         return min(backoff_s * 2, MAX_BACKOFF_S)
 
-    async def is_head(self, manifest):
-        """Tell whether the store shows ``manifest`` as its head."""
+    async def find_outcome(self, manifest, base):
+        """Compare the nonce of ``manifest`` with what the store holds."""
         try:
             head = await self.read_head()
-        except (StoreUnavailable, ChunkError):
-            return False
-        return has_nonce(head.manifest, manifest)
-
-    async def took_effect(self, manifest, base, deadline):
-        """Tell after a conflict whether an earlier try of ``manifest`` succeeded.
-
-        Raises
-        ------
-        ApplyUnknown
-            If the store does not answer in time.
-        """
-        backoff_s = FIRST_BACKOFF_S
-        while True:
-            try:
-                head = await self.read_head()
-                if head.revision <= manifest.revision:
-                    return has_nonce(head.manifest, manifest)
-                # A later apply stands on top of the revision in question.
+            if head.version == base.version:
+                return SwapOutcome.PENDING
+            found = head.manifest
+            if head.revision > manifest.revision:
+                # A later apply replaced the head; the history tells
+                # which apply made the revision in question.
                 found = await self.read_manifest(manifest.revision)
-                return has_nonce(found, manifest)
-            except RevisionNotFound:
-                raise ApplyUnknown(manifest.revision, manifest.change.nonce) from None
-            except StoreUnavailable:
-                if self.clock.now() >= deadline:
-                    raise ApplyUnknown(
-                        manifest.revision, manifest.change.nonce
-                    ) from None
-            backoff_s = await self.back_off(backoff_s)
+        except (StoreUnavailable, RevisionNotFound):
+            return SwapOutcome.PENDING
+        if has_nonce(found, manifest):
+            return SwapOutcome.EFFECTIVE
+        return SwapOutcome.SUPERSEDED
 
     async def conflict(self, base_revision, head):
         """Build the error that shows what changed since ``base_revision``."""
