--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -13,6 +13,8 @@
   8: optional double uptime_s
   // Name of the fleet; messages of another fleet are dropped.
   9: required string fleet
+  // Seconds since the platform confirmed the sender's host list.
+  10: optional double host_list_age_s
 }
 
 // Attempts on one target in one report period, summed by kind.
@@ -134,7 +136,8 @@
 struct CrashNotice {
   1: required string service_name
   2: required string fingerprint
-  3: required string target_id
+  // One target that broke, or all of them once the fingerprint is refused.
+  3: required list<string> target_ids
 }
 
 struct StatusRequest {
--- /dev/null
+++ b/oleanderroute/daemon.py
@@ -0,0 +1,448 @@
+"""The daemon ``oleanderrouted``: one per entry host."""
+
+import asyncio
+import gc
+import random
+import secrets
+import signal
+import sys
+from contextlib import AsyncExitStack
+
+import click
+import orjson
+import uvloop
+from aioprometheus import render
+
+from . import events
+from .clock import SystemClock
+from .decisions.claims import ClaimLimits, ClaimTable, HolderView, RankedHost
+from .decisions.quarantine import Quarantine
+from .entry.app import CallerApplication
+from .entry.attempts import AttemptRunner
+from .entry.caller_protocol import CallerLimits
+from .entry.pipeline import Pipeline
+from .entry.server import CallerServer
+from .entry.target_pool import TargetPool
+from .errors import SettingsError
+from .logs import log_file
+from .metrics import Metrics
+from .operator.burn import BurnLedger
+from .operator.server import OperatorServer, make_application
+from .peer.client import PeerClient
+from .peer.codec import HeaderState, PeerIdentity, make_header
+from .peer.gen.oleander_messages.ttypes import StatusReply
+from .peer.links import LinkFilter
+from .peer.server import PeerServer
+from .platform.hostlist import HostEntry, MemberState
+from .platform.store import StoreClient
+from .serving import Serving
+from .settings import load_settings
+from .tasks.aggregator import Aggregator
+from .tasks.base import supervise
+from .tasks.bootstrap import INCARNATION_KIND, BootstrapTask
+from .tasks.claimclient import ClaimClient
+from .tasks.claimservice import ClaimHolder
+from .tasks.configuration import ConfigurationTask
+from .tasks.crashreports import CrashReporter
+from .tasks.distribution import Distribution, seed_addresses
+from .tasks.hosts import HostListTask
+from .tasks.housekeeping import Housekeeping
+from .tasks.listconfirmation import ConfirmingHostListClient
+from .tasks.messenger import Messenger
+from .tasks.reporter import Reporter
+from .tasks.slotleases import SlotClient, SlotCoordinator
+from .topology import Topology
+
+EXIT_SETTINGS = 2
+CLAIM_LIFETIME_S = 600.0
+INCARNATION_BITS = 48
+# Collections of young objects cost a request up to a millisecond at the default
+# threshold of 700 allocations.
+GC_THRESHOLDS = (50_000, 20, 50)
+
+
+class Daemon:
+    """All parts of one host, wired together.
+
+    Parameters
+    ----------
+    settings : Settings
+    clock : Clock
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.rng = random.Random(secrets.randbits(64))
+        self.started_at = self.clock.now()
+        self.is_draining = False
+        self.stop_requested = asyncio.Event()
+        self.metrics = Metrics()
+        self.link_filter = LinkFilter()
+        self.identity = PeerIdentity(
+            settings.fleet,
+            settings.host_id,
+            secrets.randbits(INCARNATION_BITS),
+            settings.failure_domain,
+            settings.region,
+        )
+        self.build_peers()
+        self.build_claims()
+        self.build_serving()
+        self.build_configuration()
+        self.register_messages()
+
+    def build_peers(self):
+        """Make the peer port, the peer client and the view of the fleet."""
+        settings = self.settings
+        self.topology = Topology(self.own_entry(), self.clock)
+        self.peer_server = PeerServer(
+            settings.fleet,
+            self.header,
+            self.on_header,
+            self.link_filter,
+            settings.peer.allowed_networks,
+            self.metrics,
+        )
+        self.peer_client = PeerClient(
+            settings.fleet,
+            self.header,
+            self.on_header,
+            self.on_reply,
+            self.link_filter,
+            self.clock,
+            self.metrics,
+        )
+        self.messenger = Messenger(
+            self.topology, self.peer_client, self.peer_server, self.header
+        )
+
+    def own_entry(self):
+        """Return this host as the host list would show it."""
+        settings = self.settings
+        return HostEntry(
+            settings.host_id,
+            settings.peer.address,
+            settings.caller.port,
+            settings.peer.port,
+            settings.operator.port,
+            settings.failure_domain,
+            settings.region,
+            MemberState.LIVE,
+        )
+
+    def build_claims(self):
+        """Make both sides of at-most-once claims."""
+        limits = ClaimLimits()
+        self.holder_view = HolderView(
+            self.identity.host_id,
+            self.identity.incarnation,
+            CLAIM_LIFETIME_S,
+            limits,
+        )
+        self.claim_table = ClaimTable(
+            CLAIM_LIFETIME_S, limits, self.clock, self.holder_view
+        )
+        self.claim_holder = ClaimHolder(self.claim_table, self.clock, self.metrics)
+        self.claims = ClaimClient(
+            self.holder_view,
+            self.topology,
+            self.messenger,
+            CLAIM_LIFETIME_S,
+            limits,
+            self.clock,
+        )
+
+    def build_serving(self):
+        """Make the path of requests and the decisions on it."""
+        identity = self.identity
+        self.burn = BurnLedger(self.clock)
+        self.target_pool = TargetPool(
+            identity.host_id, identity.failure_domain, self.clock
+        )
+        self.reporter = Reporter(self.topology, self.messenger, self.clock)
+        self.quarantine = Quarantine(self.clock)
+        self.crashes = CrashReporter(
+            self.quarantine, self.topology, self.messenger, self.clock
+        )
+        self.slot_client = SlotClient(self.topology, self.messenger)
+        runner = AttemptRunner(
+            self.target_pool,
+            self.slot_client,
+            self.reporter,
+            self.crashes,
+            identity,
+            self.clock,
+            self.metrics,
+        )
+        self.pipeline = Pipeline(
+            self.claims, self.quarantine, runner, self.clock, self.metrics, self.burn
+        )
+        self.serving = Serving(
+            identity,
+            self.pipeline,
+            self.target_pool,
+            self.reporter,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
+        self.aggregator = Aggregator(self.serving, self.clock, self.metrics)
+        self.serving.aggregator = self.aggregator
+        self.slot_coordinator = SlotCoordinator(
+            self.serving.service_of, self.serving.usable_targets, self.clock
+        )
+        self.caller_server = CallerServer(
+            CallerApplication(self.pipeline, self.clock),
+            self.settings.caller.address,
+            self.settings.caller.port,
+            caller_limits(self.settings.caller),
+            self.clock,
+        )
+
+    def build_configuration(self):
+        """Make the tasks that follow the declaration and the host list."""
+        settings = self.settings
+        self.store = StoreClient(settings.platform.url, self.clock, self.metrics)
+        self.distribution = Distribution(
+            settings.host_id,
+            settings.failure_domain,
+            seed_addresses(settings.peers_seed),
+            self.rng,
+        )
+        self.configuration = ConfigurationTask(
+            self.distribution,
+            self.store,
+            self.peer_client,
+            self.clock,
+            self.rng,
+            self.on_declaration,
+            self.metrics,
+        )
+        self.host_list = HostListTask(
+            self.distribution,
+            ConfirmingHostListClient(self.store, self.clock, self.holder_view),
+            self.peer_client,
+            self.clock,
+            self.rng,
+            self.on_hosts,
+        )
+        self.bootstrap = BootstrapTask(
+            self.identity,
+            self.topology,
+            self.messenger,
+            self.store,
+            self.holder_view,
+            self.clock,
+            self.rng,
+        )
+
+    def register_messages(self):
+        """Route each kind of peer message to the task that owns its state."""
+        server = self.peer_server
+        self.configuration.register(server)
+        self.host_list.register(server)
+        self.claim_holder.register(server)
+        self.crashes.register(server)
+        self.slot_coordinator.register(server)
+        server.register("outcome_report", self.aggregator.receive_report)
+        server.register("status_request", self.answer_status)
+
+    # Messages between hosts
+
+    def header(self):
+        """Return the header of a message sent now."""
+        now = self.clock.now()
+        confirmed_at = self.holder_view.confirmed_at
+        state = HeaderState(
+            self.configuration.revision,
+            self.host_list.version,
+            now - self.started_at,
+            None if confirmed_at is None else now - confirmed_at,
+        )
+        return make_header(self.identity, state)
+
+    def on_header(self, header):
+        """Learn of newer revisions and host lists from any peer message."""
+        self.configuration.on_peer_header(header)
+        self.host_list.on_peer_header(header)
+
+    def on_reply(self, header, sent_at):
+        """Take a peer's confirmation of the host list as old as the question."""
+        if header.host_list_age_s is None:
+            return
+        if header.host_list_version != self.host_list.version:
+            return
+        self.holder_view.confirm(sent_at - header.host_list_age_s)
+
+    def answer_status(self, request, header):
+        """Answer a status request of a peer."""
+        if request.kind == INCARNATION_KIND:
+            document = {
+                "incarnation": self.identity.incarnation,
+                "may_vote": self.holder_view.is_old_enough(self.clock.now()),
+            }
+        else:
+            document = self.status()
+        return "status_reply", StatusReply(orjson.dumps(document))
+
+    # Changes of configuration
+
+    def on_declaration(self, declaration, revision):
+        """Bring a declaration into force."""
+        self.serving.on_declaration(declaration, revision)
+
+    def on_hosts(self, host_list):
+        """Follow a new host list."""
+        self.topology.update(host_list)
+        ranked = []
+        for host in host_list.hosts:
+            if host.region == self.identity.region:
+                ranked.append(RankedHost(host.host_id, host.failure_domain))
+        self.holder_view.update(ranked, self.clock.now())
+        self.serving.on_hosts(host_list)
+        events.HOST_LIST_CHANGED.log(
+            version=host_list.version, hosts=len(host_list.hosts)
+        )
+
+    # Life cycle
+
+    def is_ready(self):
+        """Tell whether new requests are welcome."""
+        return self.pipeline.view is not None and not self.is_draining
+
+    def status(self):
+        """Return the status document of the operator port."""
+        now = self.clock.now()
+        return {
+            "host_id": self.identity.host_id,
+            "failure_domain": self.identity.failure_domain,
+            "region": self.identity.region,
+            "ready": self.is_ready(),
+            "draining": self.is_draining,
+            "uptime_s": now - self.started_at,
+            "revision": self.configuration.revision,
+            "host_list_version": self.host_list.version,
+            "is_relay": self.distribution.is_relay,
+            "store_down": self.configuration.store_down,
+            "votes_on_claims": self.holder_view.is_old_enough(now),
+            "claims": len(self.claim_table.claims),
+            "in_flight": self.pipeline.in_flight,
+            "caller_connections": len(self.caller_server.connections),
+            "services": sorted(self.serving.entries),
+        }
+
+    def render_metrics(self, accept):
+        """Return the metrics page and its headers."""
+        return render(self.metrics.registry, accept)
+
+    async def run(self):
+        """Serve until a stop is requested, then drain."""
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.store.close)
+            stack.callback(self.target_pool.close)
+            await self.peer_server.start(
+                self.settings.peer.address, self.settings.peer.port
+            )
+            stack.push_async_callback(self.peer_server.close)
+            stack.push_async_callback(self.peer_client.close)
+            operator = self.make_operator_server()
+            await operator.start()
+            stack.push_async_callback(operator.close)
+            self.start_tasks(stack)
+            await self.caller_server.start()
+            stack.push_async_callback(self.caller_server.finish, 0.0)
+            gc.collect()
+            gc.freeze()
+            events.DAEMON_STARTED.log(
+                host=self.identity.host_id, caller_port=self.caller_server.port
+            )
+            await self.stop_requested.wait()
+            await self.drain()
+        events.DAEMON_STOPPED.log(host=self.identity.host_id)
+
+    def make_operator_server(self):
+        """Build the listener of the operator port."""
+        settings = self.settings.operator
+        return OperatorServer(make_application(self), settings.address, settings.port)
+
+    def start_tasks(self, stack):
+        """Start the long-running tasks; the exit stack cancels them."""
+        for task in (
+            self.configuration,
+            self.host_list,
+            self.bootstrap,
+            self.reporter,
+            self.aggregator,
+            self.slot_client,
+            Housekeeping(self.serving, self.peer_client),
+        ):
+            running = asyncio.ensure_future(supervise(task))
+            stack.push_async_callback(cancel, running)
+
+    async def drain(self):
+        """Stop without cutting a request: notice, no new ones, then the rest."""
+        self.is_draining = True
+        events.DAEMON_DRAINING.log(in_flight=self.pipeline.in_flight)
+        drain = self.settings.drain
+        self.caller_server.begin_draining()
+        await asyncio.sleep(drain.notice_s)
+        self.caller_server.stop_accepting()
+        await self.caller_server.finish(drain.limit_s)
+        await self.pipeline.close()
+        await self.claims.hand_over(self.claim_table.export(self.clock.now()))
+        await self.claims.close()
+
+    def request_stop(self):
+        """Begin a planned stop; used as a signal handler."""
+        self.stop_requested.set()
+
+
+async def cancel(task):
+    """Cancel a task and wait for its end."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def caller_limits(settings):
+    """Return the limits of the caller port from its settings."""
+    limits = settings.limits
+    return CallerLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_connections=limits.max_connections,
+        header_timeout_s=limits.header_timeout_s,
+        body_idle_timeout_s=limits.body_idle_timeout_s,
+    )
+
+
+async def serve(settings):
+    """Run one daemon until it is told to stop."""
+    gc.set_threshold(*GC_THRESHOLDS)
+    daemon = Daemon(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    await daemon.run()
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(),
+    help="JSON file with the settings of this host.",
+)
+def main(settings_path):
+    """Run the proxy daemon of one entry host until SIGTERM."""
+    try:
+        settings = load_settings(settings_path)
+    except SettingsError as error:
+        click.echo(f"oleanderrouted: {error}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    with log_file(settings.log.path):
+        uvloop.run(serve(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/oleanderroute/entry/attempt_record.py
@@ -0,0 +1,101 @@
+"""Accounting of one attempt and of the place it holds at admission."""
+
+from ..outcome import Attempt, AttemptKind
+
+
+class AdmissionHold:
+    """The place of one request at its service's gate.
+
+    Parameters
+    ----------
+    gate : Gate
+    ticket : Ticket
+
+    Attributes
+    ----------
+    is_streaming : bool
+        Whether a streamed answer keeps the place.
+    """
+
+    def __init__(self, gate, ticket):
+        self.gate = gate
+        self.ticket = ticket
+        self.last_kind = AttemptKind.CANCELLED
+        self.last_latency_s = 0.0
+        self.is_streaming = False
+        self.is_held = True
+        self.slots = None
+        self.leased_service = None
+
+    def lease(self, slots, service, target_id):
+        """Keep the slot lease of a long request alive until its end."""
+        self.slots = slots
+        self.leased_service = service
+        slots.hold(service, self.ticket.ticket_id, target_id)
+
+    def attempt_ended(self, kind, latency_s):
+        """Remember how the last attempt went."""
+        self.last_kind = kind
+        self.last_latency_s = latency_s
+
+    def release_unless_streaming(self):
+        """Give the place up at the end of a request without a streamed answer."""
+        if not self.is_streaming:
+            self.release()
+
+    def release(self):
+        """Give the place to the next request; only the first call counts."""
+        if not self.is_held:
+            return
+        self.is_held = False
+        self.gate.leave(self.ticket, self.last_kind, self.last_latency_s)
+        if self.slots is not None:
+            self.slots.release(self.leased_service, self.ticket.ticket_id)
+
+
+class AttemptRecord:
+    """Counts one attempt with the router, the budget, and the reporter.
+
+    Parameters
+    ----------
+    runner : AttemptRunner
+    context : RequestContext
+    target_id : TargetId
+    hold : AdmissionHold
+    """
+
+    def __init__(self, runner, context, target_id, hold):
+        self.runner = runner
+        self.context = context
+        self.target_id = target_id
+        self.hold = hold
+        self.started_at = runner.clock.now()
+        self.is_finished = False
+        context.entry.router.started(
+            target_id, context.route.request_class, self.started_at
+        )
+
+    def finish(self, kind):
+        """Record how the attempt ended; only the first call counts.
+
+        Parameters
+        ----------
+        kind : AttemptKind
+        """
+        if self.is_finished:
+            return
+        self.is_finished = True
+        now = self.runner.clock.now()
+        route = self.context.route
+        latency_s = now - self.started_at
+        attempt = Attempt(self.target_id, route.request_class, kind, latency_s)
+        entry = self.context.entry
+        entry.router.finished(attempt, now)
+        entry.budget.record_attempt(kind is AttemptKind.REFUSED_NOT_STARTED, now)
+        if kind is AttemptKind.OK:
+            entry.budget.record_success(now)
+        self.hold.attempt_ended(kind, latency_s)
+        self.runner.reporter.record(route.service, attempt)
+        self.runner.metrics.attempts.inc(
+            {"service": route.service, "kind": kind.name.lower()}
+        )
--- a/oleanderroute/entry/attempts.py
+++ b/oleanderroute/entry/attempts.py
@@ -3,30 +3,54 @@
 import asyncio
 from dataclasses import dataclass
 
-from ..decisions.admission import Ticket
+from ..decisions.admission import AdmissionReason, Ticket
 from ..errors import (
     BetweenBytesTimeout,
     ConnectFailed,
+    ConnectionBroken,
     FirstByteTimeout,
     TargetError,
 )
-from ..outcome import Attempt, AttemptKind, CallerOutcome
+from ..outcome import AttemptKind, CallerOutcome, RequestClass
+from ..tasks.slotleases import LeaseResult
+from .attempt_record import AdmissionHold, AttemptRecord
+from .context import refusal_outcome
 from .messages import (
     CallerAnswer,
     OutgoingRequest,
     PrefixedBody,
     TargetAnswer,
+    answer_headers,
     request_headers,
 )
 from .refusals import RefusalReason, refuse
+from .streamed import StreamedBody
+from .target_pool import ConnectionLimitReached
 
-SERVER_ERROR = 500
+SERVER_ERROR_STATUS = 500
 # 501 and 505 say something about the request, not about the target.
 REQUEST_DEPENDENT_STATUSES = frozenset({501, 505})
 MAX_ATTEMPTS = 3
-MIN_TIME_FOR_RETRY_S = 0.01
+MAX_SHED_RETRIES = 1
+# Pause between two questions for a long slot while the service has none free.
+LEASE_RETRY_S = 0.2
 OK_REASON = "ok"
 
+REFUSALS = {
+    AdmissionReason.QUEUE_FULL: RefusalReason.OVERLOADED,
+    AdmissionReason.LONG_SHED: RefusalReason.OVERLOADED,
+    AdmissionReason.SHARE_LIMITED: RefusalReason.OVERLOADED,
+    AdmissionReason.CANNOT_FINISH: RefusalReason.DEADLINE_TOO_SHORT,
+}
+FAILURES = {
+    AttemptKind.REFUSED_NOT_STARTED: RefusalReason.TARGETS_REFUSED,
+    AttemptKind.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
+    AttemptKind.BROKEN: RefusalReason.TARGET_BROKE,
+    AttemptKind.TIMEOUT: RefusalReason.TARGET_TIMEOUT,
+    AttemptKind.SILENT: RefusalReason.TARGET_TIMEOUT,
+    AttemptKind.CANCELLED: RefusalReason.CONNECT_FAILED,
+}
+
 
 @dataclass(slots=True)
 class AttemptResult:
@@ -35,13 +59,13 @@
     Attributes
     ----------
     answer : TargetAnswer or None
-    error : TargetError or None
+        None when the exchange failed.
     """
 
-    target: object
+    target_id: str
     kind: AttemptKind
+    record: AttemptRecord
     answer: TargetAnswer | None = None
-    error: TargetError | None = None
 
 
 class AttemptRunner:
@@ -50,17 +74,19 @@
     Parameters
     ----------
     pool : TargetPool
+    slots : SlotClient
     reporter : Reporter
-    crash_reporter : CrashReporter
+    crashes : CrashReporter
     identity : PeerIdentity
     clock : Clock
     metrics : Metrics
     """
 
-    def __init__(self, pool, reporter, crash_reporter, identity, clock, metrics):
+    def __init__(self, pool, slots, reporter, crashes, identity, clock, metrics):
         self.pool = pool
+        self.slots = slots
         self.reporter = reporter
-        self.crash_reporter = crash_reporter
+        self.crashes = crashes
         self.clock = clock
         self.metrics = metrics
         self.identity_headers = [
@@ -71,43 +97,233 @@
     async def run(self, context):
         """Wait for admission, then try targets.
 
+        Parameters
+        ----------
+        context : RequestContext
+
         Returns
         -------
         CallerAnswer
         """
         ticket = Ticket(
-            request_class=context.route.request_class, deadline_at=context.deadline_at
+            context.request.request_id,
+            context.route.request_class,
+            context.deadline_at,
         )
-        result = await context.entry.gate.enter(ticket)
-        if not result.is_admitted:
-            return self.refuse(context, RefusalReason.OVERLOADED)
-        admission = AdmissionHold(context.entry.gate, ticket, self.clock)
+        reason = await context.entry.gate.enter(ticket)
+        if reason is not AdmissionReason.WITHIN_LIMIT:
+            return self.refuse(context, REFUSALS[reason])
+        hold = AdmissionHold(context.entry.gate, ticket)
         try:
-            return await self.try_targets(context, admission)
+            return await self.try_targets(context, hold)
         finally:
             # A streamed answer keeps its place until its last byte.
-            admission.release_unless_streaming()
+            hold.release_unless_streaming()
 
-    async def try_targets(self, context, admission):
+    async def try_targets(self, context, hold):
         """Try one target after another as long as that is allowed."""
+        router = context.entry.router
         while True:
-            refusal = self.check_time(context)
-            if refusal is not None:
-                return refusal
             now = self.clock.now()
-            choice = context.entry.router.choose(
-                context.route.request_class,
-                frozenset(context.tried),
-                context.is_idempotent,
-                now,
+            if now >= context.deadline_at:
+                return self.refuse(context, RefusalReason.DEADLINE_PASSED)
+            target = None
+            if context.route.request_class is RequestClass.LONG:
+                target = await self.leased_target(context, hold)
+            if target is None:
+                choice = router.choose(
+                    context.route.request_class,
+                    frozenset(context.tried),
+                    context.is_idempotent,
+                    now,
+                )
+                target = choice.target
+            if target is None:
+                return self.refuse_last(context, RefusalReason.NO_TARGET)
+            result = await self.attempt(context, target, hold)
+            if not self.is_worth_retry(context, result):
+                return self.conclude(context, result, hold)
+            if result.answer is not None:
+                result.answer.abandon()
+            await self.back_off(context)
+
+    async def leased_target(self, context, hold):
+        """Return a target that the slot coordinator leases, or None for none.
+
+        A full service is asked again until the request's time is up; without a
+        coordinator the local rule decides.
+        """
+        service = context.entry.service
+        lease_id = context.request.request_id
+        while True:
+            unusable = context.entry.unusable_targets(self.clock.now())
+            excluded = context.tried | unusable
+            lease = await self.slots.acquire(service, lease_id, excluded)
+            if lease.result is LeaseResult.GRANTED:
+                hold.lease(self.slots, service, lease.target_id)
+                return context.entry.target(lease.target_id)
+            if lease.result is LeaseResult.NO_COORDINATOR:
+                return None
+            if self.clock.now() + LEASE_RETRY_S >= context.deadline_at:
+                return None
+            await asyncio.sleep(LEASE_RETRY_S)
+
+    async def attempt(self, context, target, hold):
+        """Send the request to one target and classify what comes back."""
+        record = AttemptRecord(self, context, target.target_id, hold)
+        context.attempts += 1
+        context.tried.add(target.target_id)
+        had_run = context.may_have_run
+        context.may_have_run = True
+        try:
+            answer = await self.exchange(context, target)
+        except TargetError as error:
+            kind = kind_of_error(error)
+            if not error.bytes_sent:
+                context.may_have_run = had_run
+            self.note_crash(context, target, error)
+            record.finish(kind)
+            return AttemptResult(target.target_id, kind, record)
+        except BaseException:
+            # Cancelled, or the caller left in the middle of its body.
+            record.finish(AttemptKind.CANCELLED)
+            raise
+        if answer.draining:
+            context.entry.router.mark_draining(target.target_id, self.clock.now())
+        kind = kind_of_answer(answer)
+        if kind is AttemptKind.REFUSED_NOT_STARTED:
+            context.may_have_run = had_run
+        if answer.body is not None or kind is not AttemptKind.OK:
+            record.finish(kind)
+        return AttemptResult(target.target_id, kind, record, answer)
+
+    async def exchange(self, context, target):
+        """Exchange request and answer with one target."""
+        route = context.route
+        remaining_s = context.deadline_at - self.clock.now()
+        first_byte_s = min(route.first_byte_ms / 1000, remaining_s)
+        between_bytes_s = route.between_bytes_ms / 1000
+        return await self.pool.exchange(
+            target,
+            self.outgoing_request(context, remaining_s),
+            first_byte_s,
+            between_bytes_s,
+        )
+
+    def outgoing_request(self, context, remaining_s):
+        """Build the request that goes to a target."""
+        request = context.request
+        headers = request_headers(request.headers)
+        deadline_unix_s = self.clock.wall() + remaining_s
+        if context.claim is not None:
+            # A pause of this host past the claim's life must not lead to a run.
+            latest = context.claim.latest_dispatch_unix_s
+            deadline_unix_s = min(deadline_unix_s, latest)
+        headers.append((b"x-request-id", request.request_id.encode()))
+        headers.append((b"deadline-unix-ms", str(int(deadline_unix_s * 1000)).encode()))
+        headers.extend(self.identity_headers)
+        body = context.head.content
+        length = len(body)
+        if not context.head.complete:
+            context.body_consumed = True
+            body = PrefixedBody(context.head.content, request.body)
+            length = request.body.length
+        return OutgoingRequest(
+            request.method, request.raw_target, headers, body, length
+        )
+
+    def note_crash(self, context, target, error):
+        """Report a connection that broke while the request ran."""
+        if isinstance(error, ConnectionBroken) and error.bytes_sent:
+            self.crashes.report(
+                context.route.service, context.fingerprint, target.target_id
             )
-            if choice.target is None:
-                return self.refuse(context, RefusalReason.NO_TARGET)
-            result = await self.attempt(context, choice.target, admission)
-            if result.answer is not None and not self.should_retry_answer(
-                context, result
-            ):
-                return result.answer_for_caller
-            refusal = await self.prepare_retry(context, result)
-            if refusal is not None:
-                return refusal
+
+    def is_worth_retry(self, context, result):
+        """Decide whether another attempt is allowed and paid for."""
+        kind = result.kind
+        if kind is AttemptKind.OK or not context.can_be_sent_again:
+            return False
+        if context.attempts >= MAX_ATTEMPTS:
+            return False
+        if context.may_have_run and not context.is_idempotent:
+            return False
+        now = self.clock.now()
+        was_shed = kind is AttemptKind.REFUSED_NOT_STARTED
+        if was_shed:
+            context.shed_count += 1
+            if context.shed_count > MAX_SHED_RETRIES:
+                return False
+        decision = context.entry.budget.spend(now, was_shed)
+        if not decision.allowed:
+            return False
+        if kind is AttemptKind.SILENT:
+            # A reused connection went silent: a fresh one tells whether the
+            # target or the connection is at fault.
+            context.tried.discard(result.target_id)
+        self.metrics.retries.inc(
+            {"service": context.route.service, "reason": kind.name.lower()}
+        )
+        return True
+
+    async def back_off(self, context):
+        """Wait before a retry, but never past the deadline."""
+        pause_s = context.entry.budget.backoff_s(context.attempts)
+        remaining_s = context.deadline_at - self.clock.now()
+        if remaining_s > pause_s:
+            await asyncio.sleep(pause_s)
+
+    def conclude(self, context, result, hold):
+        """Turn the last attempt into the caller's answer."""
+        answer = result.answer
+        if answer is None or result.kind is AttemptKind.REFUSED_NOT_STARTED:
+            return self.refuse(context, FAILURES[result.kind])
+        body = answer.body
+        if body is None:
+            hold.is_streaming = True
+            body = StreamedBody(answer, result.record, hold, result.kind)
+        return CallerAnswer(
+            status=answer.status,
+            headers=answer_headers(answer.headers),
+            body=body,
+            outcome=CallerOutcome.ANSWERED,
+            reason=OK_REASON,
+        )
+
+    def refuse_last(self, context, reason):
+        """Refuse for lack of another target; an earlier attempt may explain it."""
+        if context.attempts and context.shed_count == context.attempts:
+            reason = RefusalReason.TARGETS_REFUSED
+        return self.refuse(context, reason)
+
+    def refuse(self, context, reason):
+        """Refuse a request with the outcome that is proven."""
+        return refuse(reason, refusal_outcome(context))
+
+
+def kind_of_error(error):
+    """Classify a failed exchange."""
+    if isinstance(error, ConnectionLimitReached):
+        return AttemptKind.REFUSED_NOT_STARTED
+    if isinstance(error, ConnectFailed):
+        return AttemptKind.CONNECT_FAILED
+    if not error.bytes_sent:
+        # A reused connection was closed before it was written to; this says
+        # nothing against the target.
+        return AttemptKind.CANCELLED
+    if isinstance(error, FirstByteTimeout):
+        return AttemptKind.SILENT if error.reused else AttemptKind.TIMEOUT
+    if isinstance(error, BetweenBytesTimeout):
+        return AttemptKind.TIMEOUT
+    return AttemptKind.BROKEN
+
+
+def kind_of_answer(answer):
+    """Classify an answer."""
+    if answer.not_started:
+        return AttemptKind.REFUSED_NOT_STARTED
+    if answer.status < SERVER_ERROR_STATUS:
+        return AttemptKind.OK
+    if answer.status in REQUEST_DEPENDENT_STATUSES:
+        return AttemptKind.OK
+    return AttemptKind.ERROR_STATUS
--- a/oleanderroute/entry/context.py
+++ b/oleanderroute/entry/context.py
@@ -4,13 +4,13 @@
 
 from ..declaration.model import Repeatability, Route
 from ..ids import Fingerprint, TargetId, Workspace
+from ..outcome import CallerOutcome
 from .messages import BodyHead, CallerRequest
 from .service_entry import ServiceEntry
 
 # A body up to this size is read before a target is chosen, so that a slow caller
 # holds no slot and the request can be sent again.
 BUFFERED_BODY_BYTES = 64 * 1024
-EMPTY_BODY = BodyHead(b"", True)
 
 
 @dataclass(slots=True)
@@ -30,6 +30,8 @@
         Targets that are not chosen again.
     body_consumed : bool
         Whether a streamed body was handed to a target; it can't be sent again.
+    shed_count : int
+        Attempts that targets refused before start.
     """
 
     request: CallerRequest
@@ -38,13 +40,14 @@
     workspace: Workspace
     deadline_at: float
     idempotency_key: str | None
-    head: BodyHead = EMPTY_BODY
+    head: BodyHead = field(default_factory=lambda: BodyHead(b"", True))
     fingerprint: Fingerprint | None = None
     claim: object | None = None
     may_have_run: bool = False
     tried: set[TargetId] = field(default_factory=set)
     attempts: int = 0
     body_consumed: bool = False
+    shed_count: int = 0
 
     @property
     def is_idempotent(self):
@@ -60,3 +63,21 @@
     def can_be_sent_again(self):
         """Whether the body is still there for another target."""
         return self.head.complete or not self.body_consumed
+
+
+def refusal_outcome(context):
+    """Return what a refused caller may be told.
+
+    "Not run" also covers earlier requests under the same key, so a request with a
+    key needs its claim before it may be told so.
+
+    Parameters
+    ----------
+    context : RequestContext
+    """
+    if context.may_have_run:
+        return CallerOutcome.UNKNOWN
+    if context.idempotency_key is not None and context.claim is None:
+        if not context.is_idempotent:
+            return CallerOutcome.UNKNOWN
+    return CallerOutcome.NOT_RUN
--- a/oleanderroute/entry/gate.py
+++ b/oleanderroute/entry/gate.py
@@ -2,11 +2,9 @@
 
 import asyncio
 
+from ..decisions.admission import AdmissionReason, AdmissionState
 from ..outcome import AttemptKind
 
-# The granularity of queue expiry; well below the shortest declared deadline.
-EXPIRY_PERIOD_S = 0.01
-
 
 class Gate:
     """The waiting side of one service's ``Admission``.
@@ -15,53 +13,74 @@
     ----------
     admission : Admission
     clock : Clock
+    busy_gates : set of Gate
+        Shared by all gates of a host; holds those with waiting requests.
     """
 
-    def __init__(self, admission, clock):
+    def __init__(self, admission, clock, busy_gates):
         self.admission = admission
         self.clock = clock
+        self.busy_gates = busy_gates
         self.waiting = {}
 
     async def enter(self, ticket):
-        """Wait until ``ticket`` is admitted or refused.
+        """Wait until a ticket is admitted or refused.
+
+        Parameters
+        ----------
+        ticket : Ticket
 
         Returns
         -------
-        AdmissionResult
+        AdmissionReason
+            ``WITHIN_LIMIT`` if it was admitted, else why it was refused.
         """
         result = self.admission.request(ticket, self.clock.now())
-        if not result.is_queued:
-            return result
+        for displaced in result.displaced:
+            self.resolve(displaced, AdmissionReason.LONG_SHED)
+        if result.state is not AdmissionState.QUEUED:
+            return result.reason
         future = asyncio.get_running_loop().create_future()
-        self.waiting[ticket] = future
+        self.waiting[ticket.ticket_id] = future
+        self.busy_gates.add(self)
         try:
             return await future
         except asyncio.CancelledError:
             self.withdraw(ticket, future)
             raise
         finally:
-            self.waiting.pop(ticket, None)
+            self.waiting.pop(ticket.ticket_id, None)
+            if not self.waiting:
+                self.busy_gates.discard(self)
 
     def withdraw(self, ticket, future):
         """Take a ticket out whose caller went away."""
-        if future.done() and not future.cancelled() and future.result().is_admitted:
+        if not self.admission.cancel(ticket):
+            # It was admitted in the same moment; its place goes to the next.
             self.leave(ticket, AttemptKind.CANCELLED, 0.0)
-            return
-        self.admission.withdraw(ticket)
 
     def leave(self, ticket, kind, latency_s):
-        """Give the place of an admitted ticket to the next in the queue."""
+        """Give the place of an admitted ticket to the next in the queue.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        kind : AttemptKind
+            How its last attempt ended.
+        latency_s : float
+            Seconds on the target.
+        """
         admitted = self.admission.release(ticket, kind, latency_s, self.clock.now())
-        for result in admitted:
-            self.resolve(result)
+        for other in admitted:
+            self.resolve(other, AdmissionReason.WITHIN_LIMIT)
 
     def expire(self):
-        """Refuse the queued tickets that can't finish in time any more."""
-        for result in self.admission.expire(self.clock.now()):
-            self.resolve(result)
+        """Refuse the waiting tickets that can't finish in time any more."""
+        for ticket in self.admission.expire(self.clock.now()):
+            self.resolve(ticket, AdmissionReason.CANNOT_FINISH)
 
-    def resolve(self, result):
-        """Wake the request that waits for a result."""
-        future = self.waiting.get(result.ticket)
+    def resolve(self, ticket, reason):
+        """Wake the request that waits on a ticket."""
+        future = self.waiting.get(ticket.ticket_id)
         if future is not None and not future.done():
-            future.set_result(result)
+            future.set_result(reason)
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -13,7 +13,7 @@
 from ..ids import ServiceName, Workspace
 from ..outcome import CallerOutcome
 from .attempts import AttemptRunner
-from .context import BUFFERED_BODY_BYTES, RequestContext
+from .context import BUFFERED_BODY_BYTES, RequestContext, refusal_outcome
 from .messages import BodyTooLarge, CallerAnswer, read_head
 from .refusals import RefusalReason, refuse
 from .route_table import RouteTable
@@ -74,12 +74,9 @@
 
     Parameters
     ----------
-    pool : TargetPool
     claims : ClaimClient
     quarantine : Quarantine
     attempt_runner : AttemptRunner
-    fallbacks : callable
-        Returns the ``ServiceEntry`` that serves a route now.
     clock : Clock
     metrics : Metrics
     burn : BurnLedger
@@ -116,6 +113,8 @@
             return await self.serve(request)
         except BodyTooLarge:
             return self.refuse_early(request, RefusalReason.BODY_TOO_LARGE)
+        except CallerDisconnected:
+            return self.refuse_early(request, RefusalReason.BODY_INCOMPLETE)
         finally:
             self.in_flight -= 1
 
@@ -178,6 +177,8 @@
             context.head.content,
         )
         if self.quarantine.is_refused(context.fingerprint, self.clock.now()):
+            # The requests that led to the quarantine did reach targets.
+            context.may_have_run = not context.is_idempotent
             return self.refuse(context, RefusalReason.CRASH_QUARANTINE)
         if context.needs_claim:
             settled = await self.acquire_claim(context)
@@ -189,11 +190,14 @@
         return answer
 
     async def run_claimed(self, context):
-        """Try targets; an unexpected failure is answered, never dropped."""
+        """Try targets; a body that ends badly is a refusal like others."""
         try:
             return await self.attempt_runner.run(context)
         except CallerDisconnected:
             return self.refuse(context, RefusalReason.BODY_INCOMPLETE)
+        except BodyTooLarge:
+            # A chunked body shows its size only while it is sent on.
+            return self.refuse(context, RefusalReason.BODY_TOO_LARGE)
 
     async def acquire_claim(self, context):
         """Claim the key of a request.
@@ -306,17 +310,3 @@
         """Wait for claimed requests that outlived their callers."""
         if self.background:
             await asyncio.wait(self.background)
-
-
-def refusal_outcome(context):
-    """Return what a refused caller may be told.
-
-    Parameters
-    ----------
-    context : RequestContext
-    """
-    if context.may_have_run:
-        return CallerOutcome.UNKNOWN
-    if context.needs_claim and context.claim is None:
-        return CallerOutcome.UNKNOWN
-    return CallerOutcome.NOT_RUN
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -101,3 +101,16 @@
 CALLERS_CUT = define(
     401, "callers_cut", "Requests in flight were cut at the time limit of a stop."
 )
+
+# 500-549: detection
+VERDICT_CHANGED = define(
+    500, "verdict_changed", "The aggregator changed the state of a target."
+)
+
+# 550-599: limits and claims
+REQUEST_QUARANTINED = define(
+    550, "request_quarantined", "A request that crashed two targets is refused."
+)
+CLAIMS_BOOTSTRAPPED = define(
+    551, "claims_bootstrapped", "The first fleet was recorded; its hosts may vote."
+)
--- /dev/null
+++ b/oleanderroute/operator/resources.py
@@ -0,0 +1,131 @@
+"""HTTP resources of the operator port."""
+
+from dataclasses import asdict
+from enum import Enum
+
+import falcon
+import orjson
+
+
+class Liveness:
+    """``GET /live``: 200 while the event loop runs."""
+
+    async def on_get(self, request, response):
+        """Answer at once."""
+        response.media = {"live": True}
+
+
+class Readiness:
+    """``GET /ready``: 200 while new requests are welcome.
+
+    Parameters
+    ----------
+    daemon : Daemon
+    """
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def on_get(self, request, response):
+        """Answer 503 without a declaration and while draining."""
+        ready = self.daemon.is_ready()
+        response.media = {"ready": ready}
+        if not ready:
+            response.status = falcon.HTTP_503
+
+
+class Status:
+    """``GET /status``: what this host is and sees."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def on_get(self, request, response):
+        """Answer with the status document."""
+        response.data = to_json(self.daemon.status())
+        response.content_type = falcon.MEDIA_JSON
+
+
+class Explain:
+    """``GET /explain?service=&target=``: why targets are in or out."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def on_get(self, request, response):
+        """Answer with the reason that the code used, per target."""
+        service = request.get_param("service", required=True)
+        entry = self.daemon.serving.entries.get(service)
+        if entry is None:
+            raise falcon.HTTPNotFound(title=f"no service {service}")
+        wanted = request.get_param("target")
+        now = self.daemon.clock.now()
+        targets = []
+        for target_id in entry.router.views:
+            if wanted is not None and target_id != wanted:
+                continue
+            targets.append(asdict(entry.router.explain(target_id, now)))
+        if wanted is not None and not targets:
+            raise falcon.HTTPNotFound(title=f"no target {wanted} in {service}")
+        document = {"service": service, "targets": targets}
+        document["admission"] = admission_state(entry.gate.admission)
+        response.data = to_json(document)
+        response.content_type = falcon.MEDIA_JSON
+
+
+class Metrics:
+    """``GET /metrics``: Prometheus exposition format."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def on_get(self, request, response):
+        """Answer in the format that the scraper accepts."""
+        accept = request.headers.get("ACCEPT", "")
+        content, headers = self.daemon.render_metrics([accept])
+        response.data = content
+        for name, value in headers.items():
+            response.set_header(name, value)
+
+
+class Switches:
+    """``POST /switches``: cuts links to failure domains, for failure tests."""
+
+    def __init__(self, link_filter):
+        self.link_filter = link_filter
+
+    async def on_post(self, request, response):
+        """Set the failure domains to and from which messages are dropped."""
+        document = await request.get_media()
+        self.link_filter.blocked_out = set(document.get("blocked_out", ()))
+        self.link_filter.blocked_in = set(document.get("blocked_in", ()))
+        response.media = {"ok": True}
+
+
+def admission_state(admission):
+    """Return the figures of an ``Admission`` for operators."""
+    return {
+        "limit": admission.limit,
+        "share": admission.share,
+        "waiting": admission.waiting_count(),
+        "in_flight": {
+            kind.name.lower(): count for kind, count in admission.in_flight.items()
+        },
+        "expected_s": {
+            kind.name.lower(): seconds for kind, seconds in admission.expected_s.items()
+        },
+    }
+
+
+def to_json(document):
+    """Return JSON bytes; enumeration members are given by name."""
+    return orjson.dumps(document, default=encode_value)
+
+
+def encode_value(value):
+    """Encode what JSON does not know."""
+    if isinstance(value, Enum):
+        return value.name.lower()
+    if isinstance(value, (set, frozenset)):
+        return sorted(value)
+    raise TypeError(f"{type(value).__name__} is not JSON")
--- a/oleanderroute/peer/client.py
+++ b/oleanderroute/peer/client.py
@@ -24,6 +24,20 @@
 IDLE_CLOSE_S = 60.0
 
 
+@dataclass(slots=True)
+class PendingRequest:
+    """A request whose reply is awaited.
+
+    Attributes
+    ----------
+    sent_at : float
+        Monotonic seconds.
+    """
+
+    future: asyncio.Future
+    sent_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
     """Where a peer listens."""
@@ -77,16 +91,20 @@
         if self.client.link_filter.drops_incoming(reply.header.failure_domain):
             return
         self.client.on_header(reply.header)
-        future = self.waiting.pop(reply.request_id, None)
-        if future is not None and not future.done():
-            future.set_result(value)
+        pending = self.waiting.pop(reply.request_id, None)
+        if pending is None or pending.future.done():
+            return
+        self.client.on_reply(reply.header, pending.sent_at)
+        pending.future.set_result(value)
 
     def connection_lost(self, error):
         """Fail every request that still waits."""
         self.client.forget(self)
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(PeerUnreachable(f"{self.peer.host_id}: {error}"))
+        for pending in self.waiting.values():
+            if pending.future.done():
+                continue
+            failure = PeerUnreachable(f"{self.peer.host_id}: {error}")
+            pending.future.set_exception(failure)
         self.waiting.clear()
 
 
@@ -100,15 +118,21 @@
         Returns the ``Header`` of a request.
     on_header : callable
         Told the header of each accepted reply.
+    on_reply : callable
+        Told the header of a reply and when its request was sent, in monotonic
+        seconds; a reply that was delayed can't pass for a fresh one.
     link_filter : LinkFilter
     clock : Clock
     metrics : Metrics
     """
 
-    def __init__(self, fleet, make_header, on_header, link_filter, clock, metrics):
+    def __init__(
+        self, fleet, make_header, on_header, on_reply, link_filter, clock, metrics
+    ):
         self.fleet = fleet
         self.make_header = make_header
         self.on_header = on_header
+        self.on_reply = on_reply
         self.link_filter = link_filter
         self.clock = clock
         self.metrics = metrics
@@ -151,8 +175,9 @@
             body=RequestBody(**{kind: value}),
         )
         future = asyncio.get_running_loop().create_future()
-        connection.waiting[request_id] = future
-        connection.used_at = self.clock.now()
+        now = self.clock.now()
+        connection.waiting[request_id] = PendingRequest(future, now)
+        connection.used_at = now
         if not self.link_filter.drops_outgoing(connection.peer.failure_domain):
             frame = encode_frame(request)
             self.metrics.peer_bytes_sent.add({"kind": kind}, len(frame))
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -45,6 +45,24 @@
     region: Region
 
 
+@dataclass(frozen=True, slots=True)
+class HeaderState:
+    """The part of a header that changes while a host runs.
+
+    Attributes
+    ----------
+    uptime_s : float
+        Seconds since the process started.
+    host_list_age_s : float or None
+        Seconds since the platform confirmed the host list.
+    """
+
+    revision: int
+    host_list_version: int
+    uptime_s: float
+    host_list_age_s: float | None = None
+
+
 def encode_frame(message):
     """Return ``message`` as one length-prefixed frame.
 
@@ -122,16 +140,23 @@
     raise MessageRejected("message of unknown kind")
 
 
-def make_header(identity, revision, host_list_version, uptime_s):
-    """Build the header that opens each message."""
+def make_header(identity, state):
+    """Build the header that opens each message.
+
+    Parameters
+    ----------
+    identity : PeerIdentity
+    state : HeaderState
+    """
     return Header(
         protocol_version=PROTOCOL_VERSION,
         host_id=identity.host_id,
         incarnation=identity.incarnation,
         failure_domain=identity.failure_domain,
         region=identity.region,
-        revision=revision,
-        host_list_version=host_list_version,
-        uptime_s=uptime_s,
+        revision=state.revision,
+        host_list_version=state.host_list_version,
+        uptime_s=state.uptime_s,
         fleet=identity.fleet,
+        host_list_age_s=state.host_list_age_s,
     )
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -28,6 +28,7 @@
      - host_list_version
      - uptime_s
      - fleet
+     - host_list_age_s
 
     """
 
@@ -41,10 +42,11 @@
         'host_list_version',
         'uptime_s',
         'fleet',
+        'host_list_age_s',
     )
 
 
-    def __init__(self, protocol_version=None, host_id=None, incarnation=None, failure_domain=None, region=None, revision=None, host_list_version=None, uptime_s=None, fleet=None,):
+    def __init__(self, protocol_version=None, host_id=None, incarnation=None, failure_domain=None, region=None, revision=None, host_list_version=None, uptime_s=None, fleet=None, host_list_age_s=None,):
         self.protocol_version = protocol_version
         self.host_id = host_id
         self.incarnation = incarnation
@@ -54,6 +56,7 @@
         self.host_list_version = host_list_version
         self.uptime_s = uptime_s
         self.fleet = fleet
+        self.host_list_age_s = host_list_age_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -109,6 +112,11 @@
                     self.fleet = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.host_list_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -155,6 +163,10 @@
             oprot.writeFieldBegin('fleet', TType.STRING, 9)
             oprot.writeString(self.fleet.encode('utf-8') if sys.version_info[0] == 2 else self.fleet)
             oprot.writeFieldEnd()
+        if self.host_list_age_s is not None:
+            oprot.writeFieldBegin('host_list_age_s', TType.DOUBLE, 10)
+            oprot.writeDouble(self.host_list_age_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2084,21 +2096,21 @@
     Attributes:
      - service_name
      - fingerprint
-     - target_id
+     - target_ids
 
     """
 
     __slots__ = (
         'service_name',
         'fingerprint',
-        'target_id',
+        'target_ids',
     )
 
 
-    def __init__(self, service_name=None, fingerprint=None, target_id=None,):
+    def __init__(self, service_name=None, fingerprint=None, target_ids=None,):
         self.service_name = service_name
         self.fingerprint = fingerprint
-        self.target_id = target_id
+        self.target_ids = target_ids
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2120,8 +2132,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.target_ids = []
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.target_ids.append(_elem100)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2142,9 +2159,12 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 2)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
-        if self.target_id is not None:
-            oprot.writeFieldBegin('target_id', TType.STRING, 3)
-            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+        if self.target_ids is not None:
+            oprot.writeFieldBegin('target_ids', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.target_ids))
+            for iter101 in self.target_ids:
+                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2154,8 +2174,8 @@
             raise TProtocolException(message='Required field service_name is unset!')
         if self.fingerprint is None:
             raise TProtocolException(message='Required field fingerprint is unset!')
-        if self.target_id is None:
-            raise TProtocolException(message='Required field target_id is unset!')
+        if self.target_ids is None:
+            raise TProtocolException(message='Required field target_ids is unset!')
         return
 
     def __repr__(self):
@@ -3087,6 +3107,7 @@
     (7, TType.I64, 'host_list_version', None, None, ),  # 7
     (8, TType.DOUBLE, 'uptime_s', None, None, ),  # 8
     (9, TType.STRING, 'fleet', 'UTF8', None, ),  # 9
+    (10, TType.DOUBLE, 'host_list_age_s', None, None, ),  # 10
 )
 all_structs.append(AttemptSummary)
 AttemptSummary.thrift_spec = (
@@ -3222,7 +3243,7 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'target_id', 'UTF8', None, ),  # 3
+    (3, TType.LIST, 'target_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
--- a/oleanderroute/tasks/aggregator.py
+++ b/oleanderroute/tasks/aggregator.py
@@ -1,9 +1,11 @@
 """Pools the outcomes that the hosts of a failure domain report."""
 
 import asyncio
+from collections import deque
+from dataclasses import dataclass
 
 from .. import events
-from ..errors import MessageRejected
+from ..decisions.verdict import TargetState, Verdict
 from ..outcome import Attempt, RequestClass
 from ..peer.gen.oleander_messages.ttypes import (
     ServiceVerdicts,
@@ -14,10 +16,27 @@
 from .reporter import attempts_of
 
 EVALUATION_PERIOD_S = 0.25
-# In-flight counts of a host that stopped reporting are dropped after this time.
-IN_FLIGHT_LIFETIME_S = 10.0
 # Pools without a report for this long are dropped: another host took over.
 POOL_LIFETIME_S = 120.0
+# Weights that differ by less are not sent again.
+WEIGHT_STEP = 0.05
+MAX_INCIDENTS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Incident:
+    """A change of a target's state, kept for the burn report.
+
+    Attributes
+    ----------
+    at_unix_s : float
+    old : Verdict or None
+    """
+
+    at_unix_s: float
+    service_name: str
+    old: object
+    new: object
 
 
 class ServicePool:
@@ -35,51 +54,30 @@
         self.version = 0
         self.verdicts = {}
         self.changed_at = {}
-        self.long_running = {}
         self.reported_at = 0.0
 
-    def update_verdicts(self, verdicts, now, wall_s):
+    def update_verdicts(self, verdicts, wall_s):
         """Keep new verdicts and give the changed ones a new version.
 
         Versions are derived from wall time, so that they still grow when another
         host takes over the shard.
+
+        Returns
+        -------
+        list of VerdictChange
         """
         version = max(self.version + 1, int(wall_s * 1000))
-        changed = []
+        changes = []
         for verdict in verdicts:
-            message = TargetVerdict(
-                target_id=verdict.target_id,
-                state=int(verdict.state),
-                weight=verdict.weight,
-                reason=str(verdict.reason),
-                long_running=self.long_running_on(verdict.target_id, now),
-            )
-            if same_verdict(self.verdicts.get(verdict.target_id), message):
+            old = self.verdicts.get(verdict.target_id)
+            if is_same_verdict(old, verdict):
                 continue
-            changed.append((self.verdicts.get(verdict.target_id), message))
-            self.verdicts[verdict.target_id] = message
+            changes.append(VerdictChange(old, verdict))
+            self.verdicts[verdict.target_id] = verdict
             self.changed_at[verdict.target_id] = version
-        if changed:
+        if changes:
             self.version = version
-        return changed
-
-    def record_in_flight(self, host_id, in_flight, now):
-        """Remember the long requests that one host has in flight."""
-        counts = {}
-        for item in in_flight or ():
-            if item.long_running:
-                counts[item.target_id] = item.long_running
-        self.long_running[host_id] = (counts, now)
-
-    def long_running_on(self, target_id, now):
-        """Return the long requests in flight on a target, from all hosts."""
-        total = 0
-        for host_id, (counts, seen_at) in list(self.long_running.items()):
-            if now - seen_at > IN_FLIGHT_LIFETIME_S:
-                del self.long_running[host_id]
-                continue
-            total += counts.get(target_id, 0)
-        return total
+        return changes
 
     def delta_since(self, version):
         """Return the verdicts that a host at ``version`` lacks."""
@@ -88,18 +86,37 @@
         for target_id, verdict in self.verdicts.items():
             if not behind and self.changed_at[target_id] <= version:
                 continue
-            targets.append(verdict)
+            targets.append(verdict_to_message(verdict))
         return targets
 
 
-def same_verdict(old, new):
+@dataclass(frozen=True, slots=True)
+class VerdictChange:
+    """A verdict and the one before it, None for the first."""
+
+    old: Verdict | None
+    new: Verdict
+
+
+def is_same_verdict(old, new):
     """Tell whether two verdicts mean the same to an entry."""
     if old is None:
         return False
     return (
         old.state == new.state
         and old.long_running == new.long_running
-        and abs(old.weight - new.weight) < 0.05
+        and abs(old.weight - new.weight) < WEIGHT_STEP
+    )
+
+
+def verdict_to_message(verdict):
+    """Return the thrift form of a ``Verdict``."""
+    return TargetVerdict(
+        target_id=verdict.target_id,
+        state=int(verdict.state),
+        weight=verdict.weight,
+        reason=verdict.reason.encode(),
+        long_running=verdict.long_running,
     )
 
 
@@ -108,21 +125,20 @@
 
     Parameters
     ----------
-    make_pool : callable
-        Returns a ``DetectionPool`` for a service name, or None if the service is
-        not in the declaration.
+    serving : Serving
+        Makes the detection pools and knows the targets of each service.
     clock : Clock
     metrics : Metrics
     """
 
     name = "aggregator"
 
-    def __init__(self, make_pool, clock, metrics):
-        self.make_pool = make_pool
+    def __init__(self, serving, clock, metrics):
+        self.serving = serving
         self.clock = clock
         self.metrics = metrics
         self.pools = {}
-        self.decisions = []
+        self.incidents = deque(maxlen=MAX_INCIDENTS)
 
     def receive_report(self, report, header):
         """Handle one ``OutcomeReport``; the reply carries the changed verdicts."""
@@ -133,11 +149,7 @@
             if pool is None:
                 continue
             pool.reported_at = now
-            pool.record_in_flight(header.host_id, service_report.in_flight, now)
-            try:
-                self.observe(pool, header.host_id, service_report, now)
-            except ValueError as error:
-                raise MessageRejected(f"bad report: {error}") from error
+            self.observe(pool, header.host_id, service_report, now)
             targets = pool.delta_since(service_report.verdict_version)
             services.append(
                 ServiceVerdicts(service_report.service_name, pool.version, targets)
@@ -146,6 +158,7 @@
 
     def observe(self, pool, host_id, report, now):
         """Feed the attempts of one report to the detection."""
+        self.observe_in_flight(pool, host_id, report.in_flight or (), now)
         for summary in report.attempts:
             request_class = RequestClass(summary.request_class)
             for kind, latency_s, weight in attempts_of(summary):
@@ -154,18 +167,35 @@
                 )
                 pool.pool.observe(host_id, attempt, now)
 
+    def observe_in_flight(self, pool, host_id, in_flight, now):
+        """Note the long requests that a host has in flight, and those it ended."""
+        counts = {item.target_id: item.long_running for item in in_flight}
+        for target_id in pool.verdicts.keys() | counts.keys():
+            count = counts.get(target_id, 0)
+            pool.pool.observe_long_running(host_id, target_id, count, now)
+
     def pool_of(self, service_name):
         """Return the pool of a service, made on its first report."""
         pool = self.pools.get(service_name)
         if pool is not None:
             return pool
-        detection = self.make_pool(service_name)
+        detection = self.serving.make_detection_pool(service_name)
         if detection is None:
             return None
         pool = ServicePool(detection)
         self.pools[service_name] = pool
         return pool
 
+    def follow_targets(self):
+        """Follow a change of the declaration or of the host list."""
+        for name, pool in list(self.pools.items()):
+            service = self.serving.service_of(name)
+            if service is None or service != pool.pool.service:
+                # The next report makes a pool for the changed service.
+                del self.pools[name]
+                continue
+            self.serving.update_detection_pool(name, pool.pool)
+
     async def run(self):
         """Evaluate all pools periodically."""
         while True:
@@ -181,12 +211,22 @@
                 del self.pools[name]
                 continue
             verdicts = pool.pool.evaluate(now)
-            for old, new in pool.update_verdicts(verdicts, now, wall_s):
-                if old is not None and old.state == new.state:
-                    continue
-                events.VERDICT_CHANGED.log(
-                    service=name,
-                    target=new.target_id,
-                    state=new.state,
-                    reason=new.reason,
-                )
+            for change in pool.update_verdicts(verdicts, wall_s):
+                self.note_change(name, change)
+
+    def note_change(self, service_name, change):
+        """Log and keep a change of a target's state, for the night's incidents."""
+        new = change.new
+        if change.old is None and new.state is TargetState.HEALTHY:
+            return
+        if change.old is not None and change.old.state == new.state:
+            return
+        self.incidents.append(
+            Incident(self.clock.wall(), service_name, change.old, new)
+        )
+        events.VERDICT_CHANGED.log(
+            service=service_name,
+            target=new.target_id,
+            state=new.state.name.lower(),
+            reason=new.reason.encode(),
+        )
--- a/oleanderroute/tasks/messenger.py
+++ b/oleanderroute/tasks/messenger.py
@@ -4,6 +4,7 @@
 
 from .. import events
 from ..errors import PeerError
+from .distribution import peer_address
 
 
 class Messenger:
@@ -29,7 +30,7 @@
 
         Parameters
         ----------
-        host : FleetHost
+        host : HostEntry
         kind : str
             Field name of ``RequestBody``.
         value : object
@@ -47,7 +48,7 @@
             return result[1]
         try:
             reply = await self.client.request(
-                host.peer_address(), kind, value, timeout_s
+                peer_address(host), kind, value, timeout_s
             )
         except PeerError as error:
             self.topology.reply_missed(host.host_id)
--- a/oleanderroute/tasks/reporter.py
+++ b/oleanderroute/tasks/reporter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ..decisions.verdict import TargetState, Verdict, VerdictReason
 from ..errors import PeerError
 from ..outcome import FAILURE_KINDS, AttemptKind
 from ..peer.gen.oleander_messages.ttypes import (
@@ -29,20 +30,13 @@
 
 
 class ServiceOutbox:
-    """Outcomes of one service that were not reported yet.
-
-    Attributes
-    ----------
-    verdict_version : int
-        Version of the verdicts that this host holds.
-    """
+    """Outcomes of one service that were not reported yet."""
 
     def __init__(self, entry):
         self.entry = entry
         self.summaries = {}
         self.urgent = False
         self.active_at = 0.0
-        self.verdict_version = 0
 
     def add(self, attempt, now):
         """Count one attempt."""
@@ -67,13 +61,15 @@
     def take(self):
         """Return the report of this service and start an empty one."""
         in_flight = []
-        for target_id, quick, long_running in self.entry.router.in_flight_counts():
-            in_flight.append(InFlight(target_id, quick, long_running))
+        for view in self.entry.router.views.values():
+            if view.long:
+                target_id = view.target.target_id
+                in_flight.append(InFlight(target_id, view.quick, view.long))
         report = ServiceReport(
             service_name=self.entry.service.name,
             attempts=list(self.summaries.values()),
             in_flight=in_flight,
-            verdict_version=self.verdict_version,
+            verdict_version=self.entry.router.verdict_version,
         )
         self.summaries = {}
         self.urgent = False
@@ -173,12 +169,24 @@
             outbox = self.outboxes.get(verdicts.service_name)
             if outbox is None:
                 continue
-            outbox.verdict_version = verdicts.verdict_version
             outbox.entry.router.apply_verdicts(
-                verdicts.verdict_version, verdicts.targets, now
+                verdicts.verdict_version,
+                [verdict_from_message(message) for message in verdicts.targets],
+                now,
             )
 
 
+def verdict_from_message(message):
+    """Return the ``Verdict`` of its thrift form."""
+    return Verdict(
+        message.target_id,
+        TargetState(message.state),
+        message.weight,
+        VerdictReason.decode(message.reason),
+        message.long_running or 0,
+    )
+
+
 def next_period_s(batches):
     """Return the seconds to wait so that reports stay within their budget."""
     total = 0
