--- /dev/null
+++ b/oleanderroute/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of ``oleanderctl``."""
--- a/oleanderroute/platform/publish.py
+++ b/oleanderroute/platform/publish.py
@@ -308,7 +308,7 @@
                 # A later apply replaced the head; the history tells
                 # which apply made the revision in question.
                 found = await self.read_manifest(manifest.revision)
-        except (StoreUnavailable, RevisionNotFound):
+        except (StoreUnavailable, RevisionNotFound, ChunkError):
             return SwapOutcome.PENDING
         if has_nonce(found, manifest):
             return SwapOutcome.EFFECTIVE
--- a/oleanderroute/platform/store.py
+++ b/oleanderroute/platform/store.py
@@ -20,8 +20,11 @@
     """The store does not know the lease any more."""
 
 
-class UnexpectedAnswer(StoreError):
-    """The store answered in a way that its interface does not describe."""
+class UnexpectedAnswer(StoreUnavailable):
+    """The store answered in a way that its interface does not describe.
+
+    Like a missing answer, it leaves open whether a write took effect.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +179,8 @@
                     raise StoreUnavailable(f"status {response.status}")
                 return response.status, await read_document(response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise StoreUnavailable(f"{method} {url}: {error!r}") from error
+            reason = f"{method} {url}: {type(error).__name__} {error}"
+            raise StoreUnavailable(reason) from error
 
 
 async def read_document(response):
