--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -138,6 +138,7 @@
             self.identity.host_id,
             self.identity.incarnation,
             CLAIM_LIFETIME_S,
+            self.started_at,
             limits,
         )
         self.claim_table = ClaimTable(
@@ -271,9 +272,11 @@
         """Take a peer's confirmation of the host list as old as the question."""
         if header.host_list_age_s is None:
             return
-        if header.host_list_version != self.host_list.version:
-            return
-        self.holder_view.confirm(sent_at - header.host_list_age_s)
+        self.holder_view.confirm(
+            header.host_list_version,
+            sent_at - header.host_list_age_s,
+            self.clock.now(),
+        )
 
     def answer_status(self, request, header):
         """Answer a status request of a peer."""
@@ -299,7 +302,7 @@
         for host in host_list.hosts:
             if host.region == self.identity.region:
                 ranked.append(RankedHost(host.host_id, host.failure_domain))
-        self.holder_view.update(ranked, self.clock.now())
+        self.holder_view.update(host_list.version, ranked, self.clock.now())
         self.serving.on_hosts(host_list)
         events.HOST_LIST_CHANGED.log(
             version=host_list.version, hosts=len(host_list.hosts)
@@ -357,10 +360,21 @@
             events.DAEMON_STARTED.log(
                 host=self.identity.host_id, caller_port=self.caller_server.port
             )
+            self.announce()
             await self.stop_requested.wait()
             await self.drain()
         events.DAEMON_STOPPED.log(host=self.identity.host_id)
 
+    def announce(self):
+        """Print one JSON line with the ports that the daemon listens on."""
+        ports = {
+            "ready": True,
+            "port": self.caller_server.port,
+            "peer_port": self.settings.peer.port,
+            "operator_port": self.settings.operator.port,
+        }
+        click.echo(orjson.dumps(ports))
+
     def make_operator_server(self):
         """Build the listener of the operator port."""
         settings = self.settings.operator
@@ -408,10 +422,10 @@
     """Return the limits of the caller port from its settings."""
     limits = settings.limits
     return CallerLimits(
-        max_header_bytes=limits.max_header_bytes,
-        max_connections=limits.max_connections,
-        header_timeout_s=limits.header_timeout_s,
-        body_idle_timeout_s=limits.body_idle_timeout_s,
+        connections=limits.max_connections,
+        header_bytes=limits.max_header_bytes,
+        header_s=limits.header_timeout_s,
+        body_gap_s=limits.body_idle_timeout_s,
     )
 
 
--- a/oleanderroute/tasks/aggregator.py
+++ b/oleanderroute/tasks/aggregator.py
@@ -131,8 +131,6 @@
     metrics : Metrics
     """
 
-    name = "aggregator"
-
     def __init__(self, serving, clock, metrics):
         self.serving = serving
         self.clock = clock
--- a/oleanderroute/tasks/base.py
+++ b/oleanderroute/tasks/base.py
@@ -1,6 +1,7 @@
 """Base class of the daemon's long-running tasks and their supervision."""
 
 import asyncio
+import traceback
 from abc import ABC, abstractmethod
 
 from .. import events
@@ -13,13 +14,19 @@
 class DaemonTask(ABC):
     """A unit of work that owns its state and runs as long as the daemon."""
 
-    name = "task"
-
     @abstractmethod
     async def run(self):
         """Work until cancelled."""
 
 
+def format_failure(error):
+    """Return the innermost failure of a group with its place in the code."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{error!r} at {frame.filename}:{frame.lineno}"
+
+
 async def supervise(task):
     """Run ``task`` and start it again after a failure.
 
@@ -32,5 +39,6 @@
             await task.run()
             return
         except Exception as error:
-            events.TASK_FAILED.log(task=task.name, error=repr(error))
+            name = type(task).__name__
+            events.TASK_FAILED.log(task=name, error=format_failure(error))
         await asyncio.sleep(RESTART_DELAY_S)
--- a/oleanderroute/tasks/bootstrap.py
+++ b/oleanderroute/tasks/bootstrap.py
@@ -48,8 +48,6 @@
     rng : random.Random
     """
 
-    name = "bootstrap"
-
     def __init__(self, identity, topology, messenger, store, view, clock, rng):
         self.identity = identity
         self.topology = topology
--- a/oleanderroute/tasks/housekeeping.py
+++ b/oleanderroute/tasks/housekeeping.py
@@ -18,8 +18,6 @@
     peer_client : PeerClient
     """
 
-    name = "housekeeping"
-
     def __init__(self, serving, peer_client):
         self.serving = serving
         self.peer_client = peer_client
--- a/oleanderroute/tasks/listconfirmation.py
+++ b/oleanderroute/tasks/listconfirmation.py
@@ -4,7 +4,7 @@
 
 
 class ConfirmingHostListClient(HostListClient):
-    """A host list client whose answers confirm the holder's view.
+    """A host list client whose answers confirm the view of claim holders.
 
     Parameters
     ----------
@@ -19,11 +19,12 @@
         self.view = view
 
     async def fetch(self, after_version, cause="hosts"):
-        """Return a newer list or None; either way the view is current.
+        """Return a newer list, or None after confirming the known one.
 
         The time of the question counts, as the answer may have been delayed.
         """
         asked_at = self.clock.now()
         host_list = await super().fetch(after_version, cause)
-        self.view.confirm(asked_at)
+        if host_list is None:
+            self.view.confirm(after_version, asked_at, self.clock.now())
         return host_list
--- a/oleanderroute/tasks/reporter.py
+++ b/oleanderroute/tasks/reporter.py
@@ -86,8 +86,6 @@
     clock : Clock
     """
 
-    name = "reporter"
-
     def __init__(self, topology, messenger, clock):
         self.topology = topology
         self.messenger = messenger
--- a/oleanderroute/tasks/slotleases.py
+++ b/oleanderroute/tasks/slotleases.py
@@ -115,8 +115,6 @@
     messenger : Messenger
     """
 
-    name = "slot leases"
-
     def __init__(self, topology, messenger):
         self.topology = topology
         self.messenger = messenger
