--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the step modules."""
--- a/standins/target_connection.py
+++ b/standins/target_connection.py
@@ -27,7 +27,9 @@
         self.transport = None
         self.exchanges = deque()
         self.is_paused = False
+        # A silent connection neither reads nor writes; a mute one only reads.
         self.is_silent = False
+        self.is_mute = False
         self.url = b""
         self.headers = {}
 
@@ -88,6 +90,12 @@
             self.parser.should_keep_alive(),
         )
         self.exchanges.append(exchange)
+        domain = exchange.text(b"x-entry-domain")
+        if self.state.is_cut(domain, "to_target"):
+            self.is_silent = True
+            return
+        if self.state.is_cut(domain, "to_entry"):
+            self.is_mute = True
         if len(self.exchanges) == 1:
             exchange.begin()
 
@@ -111,7 +119,7 @@
 
     def write(self, data):
         """Send bytes, unless the connection is silent or closed."""
-        if self.is_silent or self.transport.is_closing():
+        if self.is_silent or self.is_mute or self.transport.is_closing():
             return
         self.transport.write(data)
 
--- a/standins/target_control.py
+++ b/standins/target_control.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from .target_state import FlapRule, GrayModes, SlowRule
+from .target_state import FlapRule, GrayModes, PartitionRule, SlowRule
 
 # New work that a draining target still accepts after the drain began; the fleet
 # has to react within this time.
@@ -36,6 +36,7 @@
             "crash_on": self.set_plain("crash_on", str),
             "break_midway": self.set_plain("break_midway", float),
             "flap": self.set_flap,
+            "partition": self.set_partition,
             "freeze_answers": self.set_freeze,
             "cold": self.set_cold,
             "drain": self.set_drain,
@@ -109,6 +110,11 @@
         rule = None if value is None else FlapRule(float(value["period_s"]))
         self.state.modes.flap = rule
 
+    def set_partition(self, value):
+        """Cut failure domains off in one way."""
+        rule = None if value is None else PartitionRule(**value)
+        self.state.modes.partition = rule
+
     def set_freeze(self, value):
         """Hold answers back, or send those that were held."""
         self.state.modes.freeze_answers = bool(value)
--- a/standins/target_state.py
+++ b/standins/target_state.py
@@ -62,6 +62,27 @@
         return work_s * self.factor + self.add_ms / 1000
 
 
+@dataclass(slots=True)
+class PartitionRule:
+    """A one-way partition between failure domains and this target.
+
+    Connections still open, unlike in a real partition. One that carried a request
+    from a cut domain stays silent for good.
+
+    Attributes
+    ----------
+    way : str
+        ``to_target`` loses requests, which never run; ``to_entry`` loses answers.
+    """
+
+    domains: list
+    way: str = "to_target"
+
+    def __post_init__(self):
+        if self.way not in ("to_target", "to_entry"):
+            raise ValueError(self.way)
+
+
 @dataclass(slots=True)
 class FlapRule:
     """Alternates good and bad halves; each lasts ``period_s`` seconds."""
@@ -97,6 +118,7 @@
     crash_on: str | None = None
     break_midway: float = 0.0
     flap: FlapRule | None = None
+    partition: PartitionRule | None = None
     freeze_answers: bool = False
     load_fixed: dict | None = None
 
@@ -200,6 +222,7 @@
         self.queue_limit = queue_limit
         self.busy = 0
         self.waiting = deque()
+        self.is_granting = False
 
     def take(self):
         """Take a free slot and tell whether there was one."""
@@ -221,12 +244,22 @@
             self.waiting.remove(waiter)
 
     def release(self):
-        """Free a slot and offer free slots to the waiting, oldest first."""
+        """Free a slot and offer free slots to the waiting, oldest first.
+
+        A waiter may finish, and so free its slot, while it is granted one. The
+        outermost call goes on with the queue; recursion would be as deep as it.
+        """
         self.busy -= 1
-        while self.waiting and self.busy < self.count:
-            self.busy += 1
-            if not self.waiting.popleft().slot_granted():
-                self.busy -= 1
+        if self.is_granting:
+            return
+        self.is_granting = True
+        try:
+            while self.waiting and self.busy < self.count:
+                self.busy += 1
+                if not self.waiting.popleft().slot_granted():
+                    self.busy -= 1
+        finally:
+            self.is_granting = False
 
 
 class TargetState:
@@ -328,6 +361,11 @@
         share = self.modes.fail_share
         return share > 0 and self.random.random() < share
 
+    def is_cut(self, domain, way):
+        """Tell whether a partition cuts a failure domain off in one way."""
+        rule = self.modes.partition
+        return rule is not None and rule.way == way and domain in rule.domains
+
     def freezes_answers(self, is_probe):
         """Tell whether an answer is held back."""
         return self.modes.freeze_answers and not self.spares(is_probe)
