--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -222,7 +222,6 @@
             raise PipelinedRequest("request before the answer to the last")
         super().on_message_begin()
         self.in_headers = True
-        self.raw_bytes = 0
         self.header_size = 0
         self.host_count = 0
         self.content_length = None
@@ -338,6 +337,7 @@
         """Note the end of the request."""
         cycle = self.cycle
         cycle.more_body = False
+        self.raw_bytes = 0
         self.deadline = inf
         if not cycle.response_complete:
             cycle.message_event.set()
