--- a/features/configuration_fakes.py
+++ b/features/configuration_fakes.py
@@ -11,7 +11,7 @@
 from oleanderroute.errors import PeerUnreachable, StoreConflict, StoreUnavailable
 from oleanderroute.metrics import Metrics
 from oleanderroute.peer.client import PeerClient
-from oleanderroute.peer.codec import PeerIdentity, make_header
+from oleanderroute.peer.codec import HeaderState, PeerIdentity, make_header
 from oleanderroute.peer.links import LinkFilter
 from oleanderroute.peer.server import PeerServer
 from oleanderroute.platform.hostlist import (
@@ -134,7 +134,9 @@
 
     def header(self):
         identity = PeerIdentity("f", self.host.host_id, 1, self.host.failure_domain, "")
-        return make_header(identity, self.task.revision, self.hosts.version, 1.0)
+        return make_header(
+            identity, HeaderState(self.task.revision, self.hosts.version, 1.0)
+        )
 
     def on_header(self, header):
         self.task.on_peer_header(header)
@@ -189,7 +191,12 @@
         self.port = port
 
         def header():
-            return make_header(identity, self.task.revision, self.hosts.version, 1.0)
+            return make_header(
+                identity, HeaderState(self.task.revision, self.hosts.version, 1.0)
+            )
+
+        def on_reply(one, sent_at):
+            pass
 
         def on_header(one):
             self.task.on_peer_header(one)
@@ -197,7 +204,9 @@
 
         distribution = Distribution(host_id, "d0", seed_addresses(seeds), rng)
         self.store = StoreClient(url, clock, metrics)
-        self.client = PeerClient("f", header, on_header, links, clock, metrics)
+        self.client = PeerClient(
+            "f", header, on_header, on_reply, links, clock, metrics
+        )
         self.server = PeerServer(
             "f", header, on_header, links, ["127.0.0.0/8"], metrics
         )
