--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -1,18 +1,16 @@
 """Time that the entry adds to a request, measured against a direct exchange.
 
-Three processes are used: a small target, the relay under test, and this client. The
-client sends each request alternately straight to the target and through the relay,
-over warm connections, so that noise of the machine falls on both.
+A small target, each relay and this client are a process each. The client sends
+requests in turn straight to the target and through each relay, over warm connections
+and in one run, so that noise of the machine falls on all alike.
 
-    python -m bench.added_latency [--seconds S] [--relay entry|naive] [--profile FILE]
+    python -m bench.added_latency [--seconds S] [--relay NAME]... [--rates]
 """
 
 import argparse
 import asyncio
-import gc
 import multiprocessing
 import os
-import socket
 import time
 from dataclasses import asdict, dataclass
 from pathlib import Path
@@ -20,6 +18,8 @@
 import orjson
 import uvloop
 
+from .relays import ANSWER_BODY, RELAYS, run_target, tune_collector
+
 OPEN_RATE_PER_S = 90
 ADDED_P99_BOUND_MS = 10.0
 CLOSED_CONNECTIONS = (1, 8)
@@ -33,10 +33,6 @@
     b"User-Agent: bench\r\nAccept: application/json\r\n"
     b"Oleander-Workspace: taller-7\r\n\r\n"
 )
-ANSWER_BODY = b'{"article": 4711, "stock": 12, "price": "1999.00"}'
-ANSWER = (
-    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
-) % (len(ANSWER_BODY), ANSWER_BODY)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,23 +81,6 @@
     )
 
 
-class BenchTarget(asyncio.Protocol):
-    """Answers each request at once; requests have no body."""
-
-    def connection_made(self, transport):
-        """Keep the transport."""
-        self.transport = transport
-        self.buffer = b""
-
-    def data_received(self, data):
-        """Count the ends of requests and write as many answers."""
-        self.buffer += data
-        count = self.buffer.count(b"\r\n\r\n")
-        if count:
-            self.buffer = self.buffer.rpartition(b"\r\n\r\n")[2]
-            self.transport.write(ANSWER * count)
-
-
 class Client(asyncio.Protocol):
     """Sends one request at a time and resolves a future with the answer's time."""
 
@@ -146,26 +125,25 @@
 
 
 async def alternate(ports, seconds, interval_s):
-    """Send alternately to both ports; ``interval_s`` 0 is a closed loop.
+    """Send to one port after the other; ``interval_s`` 0 is a closed loop.
 
     Returns
     -------
-    tuple of list of float
+    list of list of float
         Seconds of the exchanges with each port.
     """
     clients = [await connect(port) for port in ports]
     for client in clients * 20:
         await client.request()
-    samples = ([], [])
+    samples = [[] for _ in ports]
     due = time.perf_counter()
     end = due + seconds
-    which = 0
     while time.perf_counter() < end:
-        if interval_s:
-            due += interval_s
-            await asyncio.sleep(max(0.0, due - time.perf_counter()))
-        samples[which].append(await clients[which].request())
-        which = 1 - which
+        for client, latencies in zip(clients, samples, strict=True):
+            if interval_s:
+                due += interval_s
+                await asyncio.sleep(max(0.0, due - time.perf_counter()))
+            latencies.append(await client.request())
     for client in clients:
         client.transport.close()
     return samples
@@ -174,12 +152,11 @@
 async def closed_loop(ports, seconds, connections):
     """Run ``alternate`` on several connections at once."""
     runs = [alternate(ports, seconds, 0) for _ in range(connections)]
-    direct = []
-    relayed = []
-    for one_direct, one_relayed in await asyncio.gather(*runs):
-        direct += one_direct
-        relayed += one_relayed
-    return compare(direct, relayed)
+    samples = [[] for _ in ports]
+    for one_run in await asyncio.gather(*runs):
+        for all_latencies, latencies in zip(samples, one_run, strict=True):
+            all_latencies += latencies
+    return samples
 
 
 async def open_loop(port, rate_per_s, seconds):
@@ -241,6 +218,12 @@
     return 0
 
 
+def cpu_seconds(pid):
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 async def memory(port, pid):
     """Return the relay's resident memory, idle and with many open connections."""
     idle = resident_kib(pid)
@@ -253,130 +236,6 @@
     return {"idle_kib": idle, "with_1000_connections_kib": with_connections}
 
 
-# Processes
-
-
-def tune_collector():
-    """Keep long-lived objects out of collections; they make the longest pauses."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
-
-
-def run_target(port_pipe):
-    """Serve as the target."""
-
-    async def main():
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(BenchTarget, "127.0.0.1", 0)
-        tune_collector()
-        port_pipe.send(server.sockets[0].getsockname()[1])
-        await server.serve_forever()
-
-    uvloop.run(main())
-
-
-def run_entry(port_pipe, target_port, profile_path):
-    """Serve as the entry with a pipeline that always takes the same target."""
-    from oleanderroute.declaration.model import Target
-    from oleanderroute.entry.app import CallerApplication
-    from oleanderroute.entry.messages import (
-        CallerAnswer,
-        OutgoingRequest,
-        request_headers,
-    )
-    from oleanderroute.entry.server import CallerServer
-    from oleanderroute.entry.target_pool import TargetPool
-    from oleanderroute.outcome import CallerOutcome
-
-    target = Target("t1", "127.0.0.1", target_port, "mvd-a")
-
-    class FixedPipeline:
-        def __init__(self):
-            self.pool = TargetPool("host-1", "mvd-a")
-            self.pool.set_connection_limit("t1", 64)
-
-        async def handle(self, request):
-            headers = request_headers(request.headers)
-            headers.append((b"x-request-id", request.request_id.encode()))
-            headers.append((b"deadline-unix-ms", b"1800000000000"))
-            headers.append((b"x-entry-host", b"host-1"))
-            headers.append((b"x-entry-domain", b"mvd-a"))
-            outgoing = OutgoingRequest(request.method, request.raw_target, headers)
-            answer = await self.pool.exchange(target, outgoing, 5.0, 5.0)
-            return CallerAnswer(
-                answer.status,
-                answer.headers,
-                answer.body,
-                CallerOutcome.ANSWERED,
-                "answered",
-            )
-
-    async def main():
-        server = CallerServer(CallerApplication(FixedPipeline()), "127.0.0.1", 0)
-        await server.start()
-        tune_collector()
-        port_pipe.send(server.port)
-        await asyncio.Event().wait()
-
-    run_profiled(main, profile_path)
-
-
-def run_naive(port_pipe, target_port, profile_path):
-    """Serve as the straightforward relay of falcon, uvicorn and aiohttp."""
-    import aiohttp
-    import falcon.asgi
-    import uvicorn
-
-    class Relay:
-        def __init__(self):
-            self.session = None
-
-        async def __call__(self, req, resp):
-            if self.session is None:
-                self.session = aiohttp.ClientSession()
-            url = f"http://127.0.0.1:{target_port}{req.relative_uri}"
-            headers = dict(req.headers)
-            async with self.session.request(req.method, url, headers=headers) as answer:
-                resp.data = await answer.read()
-                resp.status = answer.status
-                resp.content_type = answer.headers["Content-Type"]
-
-    async def main():
-        app = falcon.asgi.App()
-        app.add_sink(Relay())
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sock.listen(1024)
-        config = uvicorn.Config(app, log_config=None, access_log=False)
-        port_pipe.send(sock.getsockname()[1])
-        await uvicorn.Server(config).serve(sockets=[sock])
-
-    run_profiled(main, profile_path)
-
-
-def run_profiled(main, profile_path):
-    """Run ``main`` on uvloop; with a path, write a profile when it is terminated."""
-    if not profile_path:
-        uvloop.run(main())
-        return
-    import cProfile
-    import signal
-
-    profiler = cProfile.Profile()
-
-    async def profiled():
-        loop = asyncio.get_running_loop()
-        task = asyncio.ensure_future(main())
-        loop.add_signal_handler(signal.SIGTERM, task.cancel)
-        await asyncio.wait([task])
-
-    profiler.enable()
-    uvloop.run(profiled())
-    profiler.disable()
-    profiler.dump_stats(profile_path)
-
-
 def start(function, *arguments):
     """Start a process and return it with the port it listens on."""
     context = multiprocessing.get_context("spawn")
@@ -386,43 +245,64 @@
     return process, receiver.recv()
 
 
-RELAYS = {"entry": run_entry, "naive": run_naive}
+async def comparisons(names, pids, run):
+    """Return each relay's comparison with the direct exchanges of ``run``."""
+    before = [cpu_seconds(pid) for pid in pids]
+    samples = await run
+    report = {}
+    for index, name in enumerate(names):
+        latencies = samples[index + 1]
+        used_s = cpu_seconds(pids[index]) - before[index]
+        report[name] = asdict(compare(samples[0], latencies))
+        report[name]["cpu_us_per_request"] = round(used_s / len(latencies) * 1e6)
+    return report
+
+
+async def measure(names, ports, pids, options):
+    """Return all figures as a JSON object."""
+    report = {"memory": {}}
+    for name, port, pid in zip(names, ports[1:], pids, strict=True):
+        report["memory"][name] = await memory(port, pid)
+    # Each port gets the rate of a host at the peak.
+    interval_s = 1 / (OPEN_RATE_PER_S * len(ports))
+    run = alternate(ports, options.seconds, interval_s)
+    report["open_loop_90_per_s"] = await comparisons(names, pids, run)
+    for connections in CLOSED_CONNECTIONS:
+        run = closed_loop(ports, options.seconds, connections)
+        report[f"closed_loop_{connections}"] = await comparisons(names, pids, run)
+    if options.rates:
+        report["highest_rate"] = {}
+        for name, port in zip(names, ports[1:], strict=True):
+            report["highest_rate"][name] = await highest_rate((ports[0], port))
+    return report
 
 
-async def measure(ports, pid, seconds, with_rates):
-    """Return all figures of one relay as a JSON object."""
-    figures = {"memory": await memory(ports[1], pid)}
-    samples = await alternate(ports, seconds, 1 / OPEN_RATE_PER_S)
-    figures["open_loop_90_per_s"] = asdict(compare(*samples))
-    for connections in CLOSED_CONNECTIONS:
-        comparison = await closed_loop(ports, seconds, connections)
-        figures[f"closed_loop_{connections}"] = asdict(comparison)
-    if with_rates:
-        figures["highest_rate"] = await highest_rate(ports)
-    return figures
+def print_json(report):
+    """Print a report."""
+    print(orjson.dumps(report, option=orjson.OPT_INDENT_2).decode())
 
 
 def main():
     """Measure the relays and print JSON."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--relay", choices=RELAYS, action="append")
     parser.add_argument("--profile", default="")
-    parser.add_argument("--no-rates", action="store_true")
+    parser.add_argument("--rates", action="store_true")
     options = parser.parse_args()
+    names = options.relay or list(RELAYS)
     target, target_port = start(run_target)
-    report = {"cpus": os.cpu_count(), "load": os.getloadavg()}
-    for name in options.relay or RELAYS:
-        relay, port = start(RELAYS[name], target_port, options.profile)
-        tune_collector()
-        ports = (target_port, port)
-        report[name] = uvloop.run(
-            measure(ports, relay.pid, options.seconds, not options.no_rates)
-        )
-        relay.terminate()
-        relay.join()
-    target.terminate()
-    print(orjson.dumps(report, option=orjson.OPT_INDENT_2).decode())
+    relays = [start(RELAYS[name], target_port, options.profile) for name in names]
+    ports = [target_port, *(port for _, port in relays)]
+    pids = [relay.pid for relay, _ in relays]
+    load = os.getloadavg()
+    tune_collector()
+    report = uvloop.run(measure(names, ports, pids, options))
+    report["machine"] = {"cpus": os.cpu_count(), "load": load}
+    for process, _ in [*relays, (target, target_port)]:
+        process.terminate()
+        process.join()
+    print_json(report)
 
 
 if __name__ == "__main__":
