--- a/oleanderroute/decisions/choice.py
+++ b/oleanderroute/decisions/choice.py
@@ -29,6 +29,7 @@
     LEAST_LOADED = "least loaded of two"
     ONLY_CANDIDATE = "only candidate left"
     PROBATION = "probation share"
+    LAST_RESORT = "no target serves; an ejected one is tried"
     NO_TARGETS = "no target serves"
     ALL_EXCLUDED = "every target is excluded"
     LONG_SHARE_REACHED = "long requests hold their share of the service"
@@ -163,14 +164,14 @@
     Parameters
     ----------
     views : list of TargetView
-        Candidates with a weight above 0.
+        Candidates with a weight above 0, or ejected ones as the last resort.
     """
 
     __slots__ = ("views", "bounds", "total")
 
     def __init__(self, views):
         self.views = views
-        self.bounds = list(accumulate(view.weight for view in views))
+        self.bounds = list(accumulate(view.weight or 1.0 for view in views))
         self.total = self.bounds[-1] if views else 0.0
 
     def draw(self, rng):
@@ -204,7 +205,7 @@
         if first is None:
             first = view
             continue
-        if view is first:
+        if view is first or view.state is TargetState.EJECTED:
             continue
         if view.score(now) < first.score(now):
             first = view
@@ -229,7 +230,9 @@
     if best is None:
         return Choice(None, ChoiceReason.ALL_EXCLUDED, is_local)
     reason = ChoiceReason.LEAST_LOADED
-    if candidates == 1:
+    if best.state is TargetState.EJECTED:
+        reason = ChoiceReason.LAST_RESORT
+    elif candidates == 1:
         reason = ChoiceReason.ONLY_CANDIDATE
     return Choice(best.target, reason, is_local)
 
--- a/oleanderroute/decisions/comparison.py
+++ b/oleanderroute/decisions/comparison.py
@@ -13,6 +13,8 @@
 from .verdict import KIND_SIGNALS, NO_REASON, Signal, VerdictReason
 
 SAMPLE_MINIMUM = 5
+# Weaker findings change nothing, so they are not worked out.
+EVIDENCE_MINIMUM = 2.0
 # With fewer peers than this a median says little; absolute limits apply.
 PEER_MINIMUM = 3
 # Failures that any service may show; keeps a spotless service from ejecting on one.
@@ -134,6 +136,7 @@
         self.peers = peers
         self.quantiles = quantiles
         self.objective_s = objective_s
+        self.slow_minimums = [self._slow_minimum_s(found) for found in quantiles]
 
     def find(self, target_id, minimum=SAMPLE_MINIMUM):
         """Return the strongest finding on a target.
@@ -170,6 +173,8 @@
         for kinds in groups:
             signal = KIND_SIGNALS[kinds[0]] if len(kinds) == 1 else Signal.MIXED
             share = Share(sum(by_kind[kind] for kind in kinds), samples)
+            if is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
+                continue
             peers = self._peer_shares(target_id, position, kinds)
             reference = self._failure_reference(share, peers)
             if reference is None:
@@ -197,6 +202,9 @@
         return shares
 
     def _run_finding(self, target_id, own):
+        share = Share(own.hard_run, own.hard_run)
+        if is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
+            return NO_FINDING
         # The long window says how often the peers fail in this way at all times,
         # the short one whether they do so now.
         reference = FAILURE_REFERENCE_MINIMUM
@@ -207,7 +215,6 @@
             reference = max(
                 reference, reference_share(peers, FAILURE_REFERENCE_MINIMUM)
             )
-        share = Share(own.hard_run, own.hard_run)
         return _finding(KIND_SIGNALS[own.hard_kind], share, reference, 0.0)
 
     def _slow_finding(self, target_id, position, minimum):
@@ -216,6 +223,8 @@
         total = self.windows[target_id].windows[position].total
         if own_s is None or total.ok_samples < minimum:
             return NO_FINDING
+        if own_s <= self.slow_minimums[position]:
+            return NO_FINDING
         peers = [
             peer_id
             for peer_id in self.peers
@@ -231,6 +240,17 @@
         length_s = self.windows[target_id].windows[position].length_s
         return _finding(Signal.SLOW, slow, reference, length_s, limit_s)
 
+    def _slow_minimum_s(self, quantiles):
+        """Return a latency in seconds that no target's slow limit lies below.
+
+        Without any one of n values, the median is at least the value of rank
+        (n - 2) // 2.
+        """
+        ordered = sorted(quantiles[key] for key in quantiles if key in self.peers)
+        if len(ordered) <= PEER_MINIMUM:
+            return 0.0
+        return SLOW_FACTOR * ordered[(len(ordered) - 2) // 2]
+
     def _slow_limit_s(self, peers_s):
         if len(peers_s) >= PEER_MINIMUM:
             center = median(peers_s)
@@ -262,6 +282,12 @@
     return first
 
 
+def is_too_weak(share, reference_minimum):
+    """Tell whether no reference could make a share worth a finding."""
+    strongest = evidence(share.value, reference_minimum, share.samples)
+    return strongest < EVIDENCE_MINIMUM
+
+
 def _judged(by_kind):
     """Return the attempts that say something of the target."""
     refused = by_kind[AttemptKind.REFUSED_NOT_STARTED]
@@ -271,7 +297,7 @@
 def _finding(signal, share, reference, window_s, limit_s=0.0):
     value = share.value
     strength = evidence(value, reference, share.samples)
-    if strength <= 0.0:
+    if strength < EVIDENCE_MINIMUM:
         return NO_FINDING
     reason = VerdictReason(
         signal, value, reference, share.samples, strength, window_s, limit_s
--- a/oleanderroute/decisions/service_router.py
+++ b/oleanderroute/decisions/service_router.py
@@ -242,13 +242,19 @@
     def _rebuild(self):
         steady = []
         idempotent = []
+        ejected = []
         for view in self.views.values():
-            if view.weight <= 0.0 or self._is_leaving(view):
+            if self._is_leaving(view) or view.state is TargetState.LEAVING:
+                continue
+            if view.weight <= 0.0:
+                ejected.append(view)
                 continue
             idempotent.append(view)
             if view.state is not TargetState.PROBATION:
                 steady.append(view)
+        # With nothing else left, a sick target is better than none.
+        steady = steady or idempotent or ejected
         self.steady = CandidateTable(steady)
-        self.idempotent = CandidateTable(idempotent)
+        self.idempotent = CandidateTable(idempotent or ejected)
         slots = len(steady) * self.service.slots_per_target
         self.long_limit = int(self.service.long_share * slots)
