--- /dev/null
+++ b/oleanderroute/decisions/subset.py
@@ -0,0 +1,253 @@
+"""Which targets of a service a host uses, so that targets' connections suffice.
+
+All hosts work out their own subset from the same lists, without any exchange. A
+host ranks targets by rendezvous hashing, so a host or target that comes or goes
+changes few pairs.
+
+With many targets each host ranks on its own. The hosts of a target then follow a
+binomial distribution, and a margin of `SIGMAS` standard deviations keeps it below
+the limit. With few targets that margin would leave too little, so all hosts are
+assigned in one order, and a full target passes its turn to the next.
+"""
+
+import hashlib
+import math
+from dataclasses import dataclass
+from functools import lru_cache
+from operator import itemgetter
+
+from ..ids import FailureDomain, HostId, TargetId
+
+# Chance of about 1e-9 that a target gets more hosts than its limit.
+SIGMAS = 6.0
+# More targets than this only spread a host's requests over idle connections.
+SUBSET_MAX = 32
+# With at most this many targets the exact assignment costs a few milliseconds.
+EXACT_MAX = 12
+# Exact assignment leaves a little room, so that late hosts find a full subset.
+EXACT_FILL = 0.95
+# Host counts are rounded up in steps of this factor before sizes follow from them,
+# so that single hosts that come and go do not resize all subsets.
+COUNT_STEP = 1.08
+MASK = (1 << 64) - 1
+# Odd constant of a multiplicative hash (2**64 divided by the golden ratio).
+MULTIPLIER = 0x9E3779B97F4A7C15
+first_of = itemgetter(0)
+
+
+@dataclass(frozen=True, slots=True)
+class HostPlace:
+    """A host and where it is."""
+
+    host_id: HostId
+    failure_domain: FailureDomain
+
+
+@dataclass(frozen=True, slots=True)
+class Subset:
+    """Targets that one host may use.
+
+    Attributes
+    ----------
+    target_ids : tuple of TargetId
+    connections : int
+        Connections that the host may have open to each of them.
+    is_over_limit : bool
+        Whether there are too few targets to give each host one within the limit.
+    """
+
+    target_ids: tuple[TargetId, ...]
+    connections: int
+    is_over_limit: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Targets a host takes from its own failure domain and from the others."""
+
+    own: int
+    others: int
+
+
+@lru_cache(maxsize=16384)
+def seed_of(name):
+    """Return the 64-bit hash of an id."""
+    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def pair_score(host_seed, target_seed):
+    """Return the rendezvous score of a pair of seeds; the highest wins."""
+    mixed = ((host_seed ^ target_seed) * MULTIPLIER) & MASK
+    mixed ^= mixed >> 29
+    mixed = (mixed * MULTIPLIER) & MASK
+    return mixed ^ (mixed >> 32)
+
+
+def choose_subset(host, hosts, targets, connections_per_target):
+    """Return the `Subset` of one host.
+
+    Parameters
+    ----------
+    host : HostPlace
+    hosts : list of HostPlace
+        All hosts that may call the service, ``host`` included.
+    targets : list of Target
+    connections_per_target : int
+        Connections that one target accepts from the whole fleet.
+    """
+    if not targets:
+        return Subset((), 0)
+    if len(hosts) <= connections_per_target and len(targets) <= SUBSET_MAX:
+        connections = connections_per_target // len(hosts)
+        return Subset(tuple(target.target_id for target in targets), connections)
+    if len(targets) <= EXACT_MAX:
+        return _exact_subset(host, hosts, targets, connections_per_target)
+    return _ranked_subset(host, hosts, targets, connections_per_target)
+
+
+def _ranked(seed, targets):
+    def score(target):
+        return pair_score(seed, seed_of(target.target_id))
+
+    return sorted(targets, key=score, reverse=True)
+
+
+def _ranked_subset(host, hosts, targets, limit):
+    size = _size(_round_up(len(hosts)), len(targets), limit)
+    is_over_limit = size == 0
+    size = max(1, size)
+    hosts_by_domain = _count(place.failure_domain for place in hosts)
+    for domain, count in hosts_by_domain.items():
+        hosts_by_domain[domain] = _round_up(count)
+    targets_by_domain = _count(target.failure_domain for target in targets)
+    ranked = _ranked(seed_of(host.host_id), targets)
+    # At most half of the subset lies in the own failure domain; less where that
+    # would overload its targets.
+    for own in range(size // 2, -1, -1):
+        quotas = {
+            domain: _quota(size, own, targets_by_domain.get(domain, 0), targets)
+            for domain in hosts_by_domain
+        }
+        load = _highest_load(quotas, hosts_by_domain, targets_by_domain)
+        if _with_margin(load) > limit:
+            continue
+        chosen = _take(ranked, host.failure_domain, quotas[host.failure_domain])
+        return Subset(tuple(chosen), _connections(load, limit))
+    chosen = [target.target_id for target in ranked[:size]]
+    load = _round_up(len(hosts)) * size / len(targets)
+    return Subset(tuple(chosen), _connections(load, limit), is_over_limit)
+
+
+def _round_up(count):
+    steps = math.ceil(math.log(count) / math.log(COUNT_STEP) - 1e-9)
+    return max(count, math.ceil(COUNT_STEP**steps))
+
+
+def _connections(load, limit):
+    return max(1, int(limit / _with_margin(load)))
+
+
+def _with_margin(load):
+    return load + SIGMAS * math.sqrt(load)
+
+
+def _size(host_count, target_count, limit):
+    """Return the largest subset whose load stays within the limit, or 0."""
+    size = min(target_count, SUBSET_MAX)
+    while size and _with_margin(host_count * size / target_count) > limit:
+        size -= 1
+    return size
+
+
+def _quota(size, own, own_targets, targets):
+    neutral = round(size * own_targets / len(targets))
+    own = min(own_targets, max(own, neutral))
+    others = min(size - own, len(targets) - own_targets)
+    return Quota(min(own_targets, size - others), others)
+
+
+def _highest_load(quotas, hosts_by_domain, targets_by_domain):
+    """Return the mean number of hosts of the target that gets most."""
+    total = sum(targets_by_domain.values())
+    highest = 0.0
+    for domain, own_targets in targets_by_domain.items():
+        load = 0.0
+        for origin, host_count in hosts_by_domain.items():
+            quota = quotas[origin]
+            if origin == domain:
+                load += host_count * quota.own / own_targets
+                continue
+            elsewhere = total - targets_by_domain.get(origin, 0)
+            load += host_count * quota.others / elsewhere
+        highest = max(highest, load)
+    return highest
+
+
+def _take(ranked, domain, quota):
+    own = quota.own
+    others = quota.others
+    chosen = []
+    for target in ranked:
+        if target.failure_domain == domain:
+            if own == 0:
+                continue
+            own -= 1
+        else:
+            if others == 0:
+                continue
+            others -= 1
+        chosen.append(target.target_id)
+    return chosen
+
+
+def _exact_subset(host, hosts, targets, limit):
+    """Assign the hosts in the order of their hashes, up to the wanted one."""
+    size = int(len(targets) * limit * EXACT_FILL / len(hosts))
+    size = min(size, len(targets))
+    if size == 0:
+        nearest = _ranked(seed_of(host.host_id), targets)[0]
+        is_over_limit = len(targets) * limit < len(hosts)
+        if is_over_limit:
+            return Subset((nearest.target_id,), 1, is_over_limit)
+        size = 1
+    left = {target.target_id: limit for target in targets}
+    seeds = {target.target_id: seed_of(target.target_id) for target in targets}
+    order = [(seed_of(place.host_id), place) for place in hosts]
+    order.sort(key=first_of)
+    for seed, place in order:
+        chosen = _assign(seed, place.failure_domain, size, targets, seeds, left)
+        if place.host_id == host.host_id:
+            return Subset(tuple(chosen), 1)
+        for target_id in chosen:
+            left[target_id] -= 1
+    return Subset((), 0)
+
+
+def _assign(seed, domain, size, targets, seeds, left):
+    scored = []
+    for target in targets:
+        target_id = target.target_id
+        if left[target_id] > 0:
+            scored.append((pair_score(seed, seeds[target_id]), target))
+    scored.sort(key=first_of, reverse=True)
+    # Half of the subset lies elsewhere, for the time when the own domain is lost.
+    own_left = size // 2
+    chosen = []
+    for _, target in scored:
+        if own_left and target.failure_domain == domain:
+            own_left -= 1
+            chosen.append(target.target_id)
+    for _, target in scored:
+        if len(chosen) >= size:
+            break
+        if target.target_id not in chosen:
+            chosen.append(target.target_id)
+    return chosen
+
+
+def _count(values):
+    counts = {}
+    for value in values:
+        counts[value] = counts.get(value, 0) + 1
+    return counts
