--- a/oleanderroute/decisions/comparison.py
+++ b/oleanderroute/decisions/comparison.py
@@ -30,10 +30,13 @@
 SLOW_DEVIATIONS = 6.0
 SLOW_GAP_S = 0.010
 ABSOLUTE_FAILURE_REFERENCE = 0.1
+# Without peers, six hard failures in a row are needed for an ejection.
+ABSOLUTE_RUN_REFERENCE = 0.03
 ABSOLUTE_SHARE = 0.5
 ABSOLUTE_SLOW_FACTOR = 4.0
 # Windows, by position in WINDOW_LENGTHS_S, in which latencies are compared.
-LATENCY_WINDOWS = (1, 2)
+LATENCY_WINDOWS = (0, 1, 2)
+LONGEST_WINDOW = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +139,12 @@
         self.peers = peers
         self.quantiles = quantiles
         self.objective_s = objective_s
-        self.slow_minimums = [self._slow_minimum_s(found) for found in quantiles]
+        self.peer_quantiles = []
+        self.slow_minimums = []
+        for position in range(len(quantiles)):
+            found = self._peer_quantiles(position)
+            self.peer_quantiles.append(found)
+            self.slow_minimums.append(slow_minimum_s(found))
 
     def find(self, target_id, minimum=SAMPLE_MINIMUM):
         """Return the strongest finding on a target.
@@ -153,7 +161,7 @@
         for position, window in enumerate(own.windows):
             for finding in self._failure_findings(target_id, position, window, minimum):
                 best = stronger(best, finding)
-        if own.hard_run:
+        if own.failure_run:
             best = stronger(best, self._run_finding(target_id, own))
         for position in LATENCY_WINDOWS:
             best = stronger(best, self._slow_finding(target_id, position, minimum))
@@ -175,19 +183,34 @@
             share = Share(sum(by_kind[kind] for kind in kinds), samples)
             if is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
                 continue
-            peers = self._peer_shares(target_id, position, kinds)
-            reference = self._failure_reference(share, peers)
+            reference = self._failure_reference(target_id, position, kinds)
             if reference is None:
-                continue
+                reference = self._absolute_reference(
+                    target_id, position, kinds, ABSOLUTE_FAILURE_REFERENCE
+                )
+                if share.value < ABSOLUTE_SHARE:
+                    continue
             yield _finding(signal, share, reference, window.length_s)
 
-    def _failure_reference(self, share, peers):
-        if len(peers) >= PEER_MINIMUM:
-            return reference_share(peers, FAILURE_REFERENCE_MINIMUM)
-        if share.value < ABSOLUTE_SHARE:
-            return None
+    def _failure_reference(self, target_id, position, kinds):
+        """Return the share that the peers let expect, or None with too few peers.
+
+        A short window says whether the peers fail now. It holds too few attempts
+        to show a small constant share of failures, which the long one does.
+        """
+        reference = None
+        for each in {position, LONGEST_WINDOW}:
+            peers = self._peer_shares(target_id, each, kinds)
+            if len(peers) < PEER_MINIMUM:
+                continue
+            found = reference_share(peers, FAILURE_REFERENCE_MINIMUM)
+            reference = max(reference or 0.0, found)
+        return reference
+
+    def _absolute_reference(self, target_id, position, kinds, minimum):
+        peers = self._peer_shares(target_id, position, kinds)
         highest = max((peer.value for peer in peers), default=0.0)
-        return min(max(highest, ABSOLUTE_FAILURE_REFERENCE), 0.99)
+        return min(max(highest, minimum), 0.99)
 
     def _peer_shares(self, target_id, position, kinds):
         shares = []
@@ -202,20 +225,21 @@
         return shares
 
     def _run_finding(self, target_id, own):
-        share = Share(own.hard_run, own.hard_run)
-        if is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
+        kinds = tuple(own.run_kinds)
+        # A run of hard failures counts below the sample minimum.
+        run = own.hard_run
+        if own.failure_run >= SAMPLE_MINIMUM:
+            run = own.failure_run
+        share = Share(run, run)
+        if run == 0 or is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
             return NO_FINDING
-        # The long window says how often the peers fail in this way at all times,
-        # the short one whether they do so now.
-        reference = FAILURE_REFERENCE_MINIMUM
-        for position in (0, -1):
-            peers = self._peer_shares(target_id, position, (own.hard_kind,))
-            if len(peers) < PEER_MINIMUM:
-                continue
-            reference = max(
-                reference, reference_share(peers, FAILURE_REFERENCE_MINIMUM)
+        reference = self._failure_reference(target_id, 0, kinds)
+        if reference is None:
+            reference = self._absolute_reference(
+                target_id, LONGEST_WINDOW, kinds, ABSOLUTE_RUN_REFERENCE
             )
-        return _finding(KIND_SIGNALS[own.hard_kind], share, reference, 0.0)
+        signal = KIND_SIGNALS[kinds[0]] if len(kinds) == 1 else Signal.MIXED
+        return _finding(signal, share, reference, 0.0)
 
     def _slow_finding(self, target_id, position, minimum):
         quantiles = self.quantiles[position]
@@ -225,12 +249,9 @@
             return NO_FINDING
         if own_s <= self.slow_minimums[position]:
             return NO_FINDING
-        peers = [
-            peer_id
-            for peer_id in self.peers
-            if peer_id != target_id and peer_id in quantiles
-        ]
-        limit_s = self._slow_limit_s([quantiles[peer_id] for peer_id in peers])
+        peers = dict(self.peer_quantiles[position])
+        peers.pop(target_id, None)
+        limit_s = self._slow_limit_s(list(peers.values()))
         if limit_s is None or own_s <= limit_s:
             return NO_FINDING
         slow = Share(total.share_above(limit_s) * total.ok_samples, total.ok_samples)
@@ -240,16 +261,18 @@
         length_s = self.windows[target_id].windows[position].length_s
         return _finding(Signal.SLOW, slow, reference, length_s, limit_s)
 
-    def _slow_minimum_s(self, quantiles):
-        """Return a latency in seconds that no target's slow limit lies below.
-
-        Without any one of n values, the median is at least the value of rank
-        (n - 2) // 2.
-        """
-        ordered = sorted(quantiles[key] for key in quantiles if key in self.peers)
-        if len(ordered) <= PEER_MINIMUM:
-            return 0.0
-        return SLOW_FACTOR * ordered[(len(ordered) - 2) // 2]
+    def _peer_quantiles(self, position):
+        """Return the quantiles of the peers that have enough successes."""
+        found = {}
+        for target_id, quantile_s in self.quantiles[position].items():
+            if target_id not in self.peers:
+                continue
+            # The quantiles are older than the windows, which may have emptied since.
+            total = self.windows[target_id].windows[position].total
+            if total.ok_samples < SAMPLE_MINIMUM:
+                continue
+            found[target_id] = quantile_s
+        return found
 
     def _slow_limit_s(self, peers_s):
         if len(peers_s) >= PEER_MINIMUM:
@@ -267,12 +290,31 @@
             if slow.value < ABSOLUTE_SHARE:
                 return None
             return ABSOLUTE_FAILURE_REFERENCE
+        reference = SLOW_REFERENCE_MINIMUM
+        for each in {position, LONGEST_WINDOW}:
+            shares = self._slow_shares(peers, each, limit_s)
+            found = reference_share(shares, SLOW_REFERENCE_MINIMUM)
+            reference = max(reference, found)
+        return reference
+
+    def _slow_shares(self, peers, position, limit_s):
         shares = []
         for peer_id in peers:
             total = self.windows[peer_id].windows[position].total
             hits = total.share_above(limit_s) * total.ok_samples
             shares.append(Share(hits, total.ok_samples))
-        return reference_share(shares, SLOW_REFERENCE_MINIMUM)
+        return shares
+
+
+def slow_minimum_s(quantiles):
+    """Return a latency in seconds that no target's slow limit lies below.
+
+    Without any one of n values, the median is at least the value of rank
+    (n - 2) // 2.
+    """
+    if len(quantiles) <= PEER_MINIMUM:
+        return 0.0
+    return SLOW_FACTOR * sorted(quantiles.values())[(len(quantiles) - 2) // 2]
 
 
 def stronger(first, second):
--- /dev/null
+++ b/oleanderroute/decisions/dependencies.py
@@ -0,0 +1,293 @@
+"""What a sick or recovering service means for its dependants and its fallback."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from ..ids import ServiceName
+from .chart import read_chart
+from .verdict import TargetState
+
+# Hysteresis between sick and recovering, as shares of full capacity.
+SICK_SHARE = 0.5
+IMPROVED_SHARE = 0.7
+RECOVERED_SHARE = 0.9
+IMPROVED_AFTER_S = 2.0
+RECOVERED_AFTER_S = 5.0
+# Some requests of a dependant do without the dependency.
+ADMISSION_MIN = 0.2
+# One late verdict does not move a whole service's traffic.
+DIVERT_AFTER_S = 1.0
+# Returning needs more than the floor, or the first returning request would push the
+# service below it again.
+RETURN_MARGIN = 1.2
+RETURN_AFTER_S = 10.0
+
+
+class DependencyHealth(Enum):
+    """State of a service as its dependants see it."""
+
+    WELL = auto()
+    SICK = auto()
+    RECOVERING = auto()
+
+
+class DependencyEvent(Enum):
+    """Events of the state chart ``dependency.json``."""
+
+    SICKEN = auto()
+    IMPROVE = auto()
+    RECOVER = auto()
+
+
+class FallbackState(Enum):
+    """Where the traffic of a service with a fallback goes."""
+
+    HOME = auto()
+    DIVERTED = auto()
+    RETURNING = auto()
+
+
+class FallbackEvent(Enum):
+    """Events of the state chart ``fallback.json``."""
+
+    DIVERT = auto()
+    RETURN = auto()
+    ARRIVE = auto()
+
+
+DEPENDENCY_CHART = read_chart("dependency.json", DependencyHealth, DependencyEvent)
+FALLBACK_CHART = read_chart("fallback.json", FallbackState, FallbackEvent)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceState:
+    """Capacity of one service at one moment.
+
+    Attributes
+    ----------
+    serving_slots : float
+        Slots that serve; a ramping target counts by its weight.
+    total_slots : int
+        Slots of all targets that are not leaving.
+    floor_slots : int
+    """
+
+    serving_slots: float
+    total_slots: int
+    floor_slots: int
+
+    @property
+    def healthy_share(self):
+        """Share of the slots that serve, between 0 and 1."""
+        if self.total_slots == 0:
+            return 0.0
+        return self.serving_slots / self.total_slots
+
+    @property
+    def is_below_floor(self):
+        """Whether fewer slots serve than the operators' floor."""
+        return self.serving_slots < self.floor_slots
+
+
+def service_state(service, verdicts):
+    """Return the `ServiceState` that a list of verdicts describes."""
+    serving = 0.0
+    total = 0
+    for verdict in verdicts:
+        if verdict.state is TargetState.LEAVING:
+            continue
+        total += service.slots_per_target
+        if verdict.state in (TargetState.EJECTED, TargetState.PROBATION):
+            continue
+        serving += verdict.weight * service.slots_per_target
+    return ServiceState(serving, total, service.floor_slots)
+
+
+class AdmissionCause(Enum):
+    """Why the admission of a service is limited."""
+
+    NONE = "not limited"
+    DEPENDENCY_RECOVERS = "a dependency recovers"
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionShare:
+    """Share of its requests that a service should admit, and on whose account."""
+
+    share: float = 1.0
+    cause: AdmissionCause = AdmissionCause.NONE
+    dependency: ServiceName | None = None
+
+
+class RoutingCause(Enum):
+    """Why traffic goes to a fallback, or why it does not."""
+
+    HOME = "the service serves itself"
+    BELOW_FLOOR = "the service is below its floor"
+    RETURNING = "the service takes its traffic back"
+    FALLBACK_SICK = "the fallback is below its floor as well"
+
+
+@dataclass(frozen=True, slots=True)
+class FallbackDecision:
+    """Share of a service's traffic that goes to its fallback."""
+
+    share: float
+    fallback: ServiceName | None
+    cause: RoutingCause
+
+
+@dataclass
+class ServiceCondition:
+    """What is remembered of one service between updates."""
+
+    state: ServiceState
+    health: DependencyHealth = DependencyHealth.WELL
+    better_since: float | None = None
+    route: FallbackState = FallbackState.HOME
+    route_since: float = 0.0
+    below_since: float | None = None
+    above_since: float | None = None
+
+
+class Dependencies:
+    """Follows the states of all services.
+
+    Parameters
+    ----------
+    services : dict of ServiceName to Service
+        Without cycles, as the declaration's loader guarantees.
+    """
+
+    def __init__(self, services):
+        self.services = services
+        self.conditions = {}
+
+    def update(self, name, state, now):
+        """Take over the `ServiceState` of a service.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        condition = self.conditions.get(name)
+        if condition is None:
+            condition = self.conditions[name] = ServiceCondition(state)
+        condition.state = state
+        self._follow_health(condition, now)
+        self._follow_route(self.services[name], condition, now)
+
+    def admission_share(self, name):
+        """Return the `AdmissionShare` of a service.
+
+        While a dependency is sick its dependants are not limited: their requests
+        may do without it. Once it recovers, they grow with its capacity.
+        """
+        strictest = AdmissionShare()
+        for dependency in self._all_dependencies(name):
+            condition = self.conditions.get(dependency)
+            if condition is None or condition.health is not DependencyHealth.RECOVERING:
+                continue
+            share = min(1.0, condition.state.healthy_share / RECOVERED_SHARE)
+            share = max(ADMISSION_MIN, share)
+            if share < strictest.share:
+                cause = AdmissionCause.DEPENDENCY_RECOVERS
+                strictest = AdmissionShare(share, cause, dependency)
+        return strictest
+
+    def is_ejection_suppressed(self, name):
+        """Tell whether a dependency's trouble may look like that of the targets."""
+        for dependency in self._all_dependencies(name):
+            condition = self.conditions.get(dependency)
+            if condition is None:
+                continue
+            if condition.health is not DependencyHealth.WELL:
+                return True
+        return False
+
+    def fallback(self, name, now):
+        """Return the `FallbackDecision` of a service."""
+        service = self.services[name]
+        condition = self.conditions.get(name)
+        if service.fallback is None or condition is None:
+            return FallbackDecision(0.0, service.fallback, RoutingCause.HOME)
+        if condition.route is FallbackState.HOME:
+            return FallbackDecision(0.0, service.fallback, RoutingCause.HOME)
+        other = self.conditions.get(service.fallback)
+        if other is not None and other.state.is_below_floor:
+            cause = RoutingCause.FALLBACK_SICK
+            return FallbackDecision(0.0, service.fallback, cause)
+        if condition.route is FallbackState.DIVERTED:
+            cause = RoutingCause.BELOW_FLOOR
+            return FallbackDecision(1.0, service.fallback, cause)
+        left = 1.0 - self._return_progress(service, condition, now)
+        return FallbackDecision(left, service.fallback, RoutingCause.RETURNING)
+
+    def _all_dependencies(self, name):
+        found = []
+        pending = list(self.services[name].depends_on)
+        while pending:
+            dependency = pending.pop()
+            if dependency in found or dependency not in self.services:
+                continue
+            found.append(dependency)
+            pending.extend(self.services[dependency].depends_on)
+        return found
+
+    def _follow_health(self, condition, now):
+        share = condition.state.healthy_share
+        if condition.health is not DependencyHealth.SICK and share < SICK_SHARE:
+            self._move_health(condition, DependencyEvent.SICKEN)
+        elif condition.health is DependencyHealth.SICK:
+            if _has_held(condition, share >= IMPROVED_SHARE, IMPROVED_AFTER_S, now):
+                self._move_health(condition, DependencyEvent.IMPROVE)
+        elif condition.health is DependencyHealth.RECOVERING:
+            if _has_held(condition, share >= RECOVERED_SHARE, RECOVERED_AFTER_S, now):
+                self._move_health(condition, DependencyEvent.RECOVER)
+
+    def _move_health(self, condition, event):
+        condition.health = DEPENDENCY_CHART.next(condition.health, event)
+        condition.better_since = None
+
+    def _follow_route(self, service, condition, now):
+        if service.fallback is None:
+            return
+        state = condition.state
+        condition.below_since = _since(condition.below_since, state.is_below_floor, now)
+        wanted = min(state.floor_slots * RETURN_MARGIN, state.total_slots)
+        is_above = not state.is_below_floor and state.serving_slots >= wanted
+        condition.above_since = _since(condition.above_since, is_above, now)
+        if condition.route is not FallbackState.DIVERTED:
+            if _lasts(condition.below_since, DIVERT_AFTER_S, now):
+                self._move_route(condition, FallbackEvent.DIVERT, now)
+            elif condition.route is FallbackState.RETURNING:
+                if self._return_progress(service, condition, now) >= 1.0:
+                    self._move_route(condition, FallbackEvent.ARRIVE, now)
+        elif _lasts(condition.above_since, RETURN_AFTER_S, now):
+            self._move_route(condition, FallbackEvent.RETURN, now)
+
+    def _move_route(self, condition, event, now):
+        condition.route = FALLBACK_CHART.next(condition.route, event)
+        condition.route_since = now
+
+    def _return_progress(self, service, condition, now):
+        if service.ramp_s <= 0:
+            return 1.0
+        return min(1.0, (now - condition.route_since) / service.ramp_s)
+
+
+def _has_held(condition, is_better, length_s, now):
+    condition.better_since = _since(condition.better_since, is_better, now)
+    return _lasts(condition.better_since, length_s, now)
+
+
+def _since(since, holds, now):
+    """Return since when a condition holds without a break, or None."""
+    if not holds:
+        return None
+    return now if since is None else since
+
+
+def _lasts(since, length_s, now):
+    return since is not None and now - since >= length_s
--- a/oleanderroute/decisions/detection.py
+++ b/oleanderroute/decisions/detection.py
@@ -11,12 +11,8 @@
     ClassComparison,
     stronger,
 )
-from .ejection import (
-    OUT_STATES,
-    SERVING_STATES,
-    Assessment,
-    Roster,
-)
+from .condition import OUT_STATES, SERVING_STATES, Assessment
+from .ejection import Roster
 from .verdict import TargetState, Verdict, VerdictReason
 from .windows import WINDOW_LENGTHS_S, OutcomeWindows
 
--- a/oleanderroute/decisions/ejection.py
+++ b/oleanderroute/decisions/ejection.py
@@ -1,68 +1,40 @@
 """State machine of every target of a service: ejection, probation, ramp, floor."""
 
-import math
 from dataclasses import dataclass, replace
 
 from ..ids import TargetId
 from .chart import read_chart
-from .comparison import NO_FINDING, Finding
-from .verdict import Restraint, Signal, TargetEvent, TargetState, Verdict
+from .comparison import NO_FINDING
+from .condition import (
+    CLEAR_EVIDENCE,
+    EJECT_GAP,
+    NO_ASSESSMENT,
+    OUT_STATES,
+    SERVING_STATES,
+    TargetCondition,
+    is_ejectable,
+    is_proven,
+    looks_sick,
+)
+from .verdict import Restraint, TargetEvent, TargetState, Verdict
 
 TARGET_CHART = read_chart("target.json", TargetState, TargetEvent)
 
-# Hysteresis: evidence in nats to doubt, to eject, and to clear a target.
-DOUBT_EVIDENCE = 9.0
-EJECT_EVIDENCE = 18.0
-CLEAR_EVIDENCE = 3.0
 # A target on probation was sick a moment ago, so less evidence sends it back.
 RELAPSE_EVIDENCE = 5.0
-DOUBT_GAP = 0.05
-EJECT_GAP = 0.10
 CLEAR_AFTER_S = 2.0
 EJECTION_MIN_S = 5.0
 EJECTION_MAX_S = 300.0
 # Targets that were ejected together do not return together.
 EJECTION_JITTER = 0.1
 STRIKE_DECAY_S = 300.0
-PROBATION_SUCCESSES = 8
 # A service without idempotent traffic gives a target no way to prove itself; after
 # this time it gets the first step of the ramp.
 PROBATION_UNUSED_S = 60.0
 PROBE_MEMORY_S = 30.0
 # Ejections this shortly before most targets looked sick belong to the same fault.
 SUPPRESSION_LOOKBACK_S = 10.0
-SUSPECT_WEIGHT = 0.5
-FLOOR_WEIGHT = 0.2
-PROBATION_WEIGHT = 0.2
-COLD_WEIGHT = 0.05
-RAMP_START = 0.1
-# Weights move in steps, so that a ramp does not change every verdict message.
-WEIGHT_STEP = 0.05
 DRAIN_MEMORY_S = 60.0
-SERVING_STATES = frozenset(
-    {TargetState.HEALTHY, TargetState.SUSPECT, TargetState.RAMPING}
-)
-OUT_STATES = frozenset({TargetState.EJECTED, TargetState.PROBATION})
-
-
-@dataclass(frozen=True, slots=True)
-class Assessment:
-    """What detection knows of one target at one moment.
-
-    Attributes
-    ----------
-    successes : int
-        Successful attempts in the windows; probes are none.
-    outcomes : int
-        All attempts in the windows.
-    """
-
-    finding: Finding = NO_FINDING
-    successes: int = 0
-    outcomes: int = 0
-
-
-NO_ASSESSMENT = Assessment()
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,62 +46,6 @@
     after: TargetState
 
 
-class TargetCondition:
-    """State of one target and what its next change depends on.
-
-    Attributes
-    ----------
-    strikes : int
-        Ejections that are not forgotten yet; each doubles the next ejection.
-    restrained : bool
-        Whether the target looks sick but is kept in use at low weight.
-    """
-
-    def __init__(self, target_id, state, now):
-        self.target_id = target_id
-        self.state = state
-        self.since = now
-        self.strikes = 0
-        self.strike_checked_at = now
-        self.ejected_at = -math.inf
-        self.ejected_until = -math.inf
-        self.quiet_since = None
-        self.restrained = False
-        self.restraint = Restraint.NONE
-        self.cause = NO_FINDING
-        self.assessment = NO_ASSESSMENT
-        self.failed_probe_at = -math.inf
-        self.draining_until = -math.inf
-
-    @property
-    def sickness(self):
-        """How sick the target is; a slow answer is better than none."""
-        gap = self.assessment.finding.gap or self.cause.gap
-        if self.cause.reason.signal is Signal.SLOW:
-            return gap / 2
-        return gap
-
-    def ramp_share(self, ramp_s, now):
-        """Return the share of full traffic that a ramping target gets now."""
-        progress = 1.0 if ramp_s <= 0 else min(1.0, (now - self.since) / ramp_s)
-        share = RAMP_START + (1 - RAMP_START) * progress
-        return round(share / WEIGHT_STEP) * WEIGHT_STEP
-
-    def weight(self, ramp_s, now):
-        """Return the share of traffic against a healthy target."""
-        if self.state is TargetState.HEALTHY:
-            return 1.0
-        if self.state is TargetState.SUSPECT:
-            return FLOOR_WEIGHT if self.restrained else SUSPECT_WEIGHT
-        if self.state is TargetState.PROBATION:
-            return PROBATION_WEIGHT
-        if self.state is TargetState.RAMPING:
-            return self.ramp_share(ramp_s, now)
-        if self.state is TargetState.COLD:
-            return COLD_WEIGHT
-        return 0.0
-
-
 class Roster:
     """The conditions of all targets of a service, and the rules over them together.
 
@@ -399,22 +315,3 @@
                 return
             self._readmit(condition, Restraint.FLOOR, now)
             slots += self.service.slots_per_target
-
-
-def looks_sick(condition):
-    """Tell whether the evidence is enough to doubt a target."""
-    finding = condition.assessment.finding
-    return finding.reason.evidence >= DOUBT_EVIDENCE and finding.gap >= DOUBT_GAP
-
-
-def is_ejectable(condition):
-    """Tell whether the evidence is enough to eject a target."""
-    finding = condition.assessment.finding
-    return finding.reason.evidence >= EJECT_EVIDENCE and finding.gap >= EJECT_GAP
-
-
-def is_proven(condition):
-    """Tell whether real traffic has cleared a target that was sick."""
-    if condition.assessment.successes < PROBATION_SUCCESSES:
-        return False
-    return condition.assessment.finding.reason.evidence < CLEAR_EVIDENCE
--- a/oleanderroute/decisions/service_router.py
+++ b/oleanderroute/decisions/service_router.py
@@ -6,8 +6,9 @@
 from ..ids import TargetId
 from ..outcome import Attempt, RequestClass
 from .choice import CandidateTable, TargetView, choose_long, choose_quick
+from .condition import COLD_WEIGHT
 from .detection import DetectionPool
-from .ejection import COLD_WEIGHT, DRAIN_MEMORY_S
+from .ejection import DRAIN_MEMORY_S
 from .verdict import TargetState, VerdictReason
 
 VERDICT_LIFETIME_S = 30.0
--- a/oleanderroute/decisions/windows.py
+++ b/oleanderroute/decisions/windows.py
@@ -148,15 +148,21 @@
         By rising length; they share their slices.
     hard_run : int
         Hard failures since the last other outcome.
+    failure_run : int
+        Failures of any kind since the last success.
+    run_kinds : set of AttemptKind
+        Kinds of the failures of the run.
     """
 
     def __init__(self):
         self.windows = tuple(SlidingWindow(length) for length in WINDOW_LENGTHS_S)
         self.current = None
         self.hard_run = 0
-        self.hard_at = -math.inf
-        self.hard_kind = None
-        self.other_at = -math.inf
+        self.failure_run = 0
+        self.run_kinds = set()
+        self.run_at = -math.inf
+        self.hard_end_at = -math.inf
+        self.success_at = -math.inf
 
     def observe(self, kind, latency_s, weight, now):
         """Count an outcome at monotonic time ``now`` in seconds."""
@@ -179,18 +185,28 @@
             window.expire(index)
         if self.current is not None and not self.windows[-1].slices:
             self.current = None
-        if now - self.hard_at > RUN_MEMORY_S:
-            self.hard_run = 0
+        if now - self.run_at > RUN_MEMORY_S:
+            self._end_run()
+
+    def _end_run(self):
+        self.hard_run = 0
+        self.failure_run = 0
+        self.run_kinds.clear()
 
     def _follow_run(self, kind, weight, now):
         # A report gives counts without their order. Outcomes that arrive together
-        # only make a run when none of them is another kind of outcome.
-        if kind not in HARD_KINDS:
-            self.hard_run = 0
-            self.other_at = now
+        # only make a run when none of them ends it.
+        if kind is AttemptKind.OK:
+            self._end_run()
+            self.success_at = now
             return
-        if now <= self.other_at:
+        if now <= self.success_at:
             return
-        self.hard_run += weight
-        self.hard_at = now
-        self.hard_kind = kind
+        self.failure_run += weight
+        self.run_kinds.add(kind)
+        self.run_at = now
+        if kind not in HARD_KINDS:
+            self.hard_run = 0
+            self.hard_end_at = now
+        elif now > self.hard_end_at:
+            self.hard_run += weight
