--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -49,6 +49,7 @@
 from .tasks.housekeeping import Housekeeping
 from .tasks.listconfirmation import ConfirmingHostListClient
 from .tasks.messenger import Messenger
+from .tasks.recovery import RecoveryTask
 from .tasks.reporter import Reporter
 from .tasks.slotleases import SlotClient, SlotCoordinator
 from .topology import Topology
@@ -190,6 +191,10 @@
         )
         self.aggregator = Aggregator(self.serving, self.clock, self.metrics)
         self.serving.aggregator = self.aggregator
+        self.recovery = RecoveryTask(
+            self.serving, self.aggregator, self.clock, self.rng
+        )
+        self.pipeline.service_for = self.recovery.service_for
         self.slot_coordinator = SlotCoordinator(
             self.serving.service_of, self.serving.usable_targets, self.clock
         )
@@ -389,6 +394,7 @@
             self.reporter,
             self.aggregator,
             self.slot_client,
+            self.recovery,
             Housekeeping(self.serving, self.peer_client),
         ):
             running = asyncio.ensure_future(supervise(task))
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -90,6 +90,8 @@
         self.metrics = metrics
         self.burn = burn
         self.view = None
+        # Replaced by the recovery task's choice of a fallback.
+        self.service_for = str
         self.in_flight = 0
         self.background = set()
 
@@ -134,7 +136,7 @@
         context = RequestContext(
             request=request,
             route=route,
-            entry=view.entries[route.service],
+            entry=view.entries[self.service_for(route.service)],
             workspace=Workspace(headers.workspace or ""),
             deadline_at=request.received_at + deadline_s,
             idempotency_key=headers.key,
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -114,3 +114,6 @@
 CLAIMS_BOOTSTRAPPED = define(
     551, "claims_bootstrapped", "The first fleet was recorded; its hosts may vote."
 )
+TRAFFIC_DIVERTED = define(
+    501, "traffic_diverted", "Traffic of a service moves to or from its fallback."
+)
--- a/oleanderroute/serving.py
+++ b/oleanderroute/serving.py
@@ -4,6 +4,7 @@
 from .decisions.budget import RetryBudget
 from .decisions.detection import DetectionPool
 from .decisions.service_router import ServiceRouter
+from .decisions.subset import HostPlace, choose_subset
 from .declaration.model import Target
 from .entry.gate import Gate
 from .entry.pipeline import ServingView
@@ -104,14 +105,32 @@
             self.aggregator.follow_targets()
 
     def set_targets(self, entry, targets, leaving):
-        """Tell the router, the gate and the pool the targets of one service."""
+        """Give the router, the gate and the pool this host's subset of targets."""
         service = entry.service
-        entry.router.set_targets(targets, leaving)
-        entry.gate.admission.set_ceiling(len(targets) * service.slots_per_target)
-        hosts = max(1, len(self.host_list.hosts))
-        limit = max(1, service.connections_per_target // hosts)
-        for target in targets:
-            self.pool.set_connection_limit(target.target_id, limit)
+        subset = choose_subset(
+            self.own_place(),
+            self.host_places(),
+            targets,
+            service.connections_per_target,
+        )
+        chosen_ids = set(subset.target_ids)
+        chosen = [target for target in targets if target.target_id in chosen_ids]
+        entry.router.set_targets(chosen, leaving, len(targets))
+        entry.gate.admission.set_ceiling(len(chosen) * service.slots_per_target)
+        for target in chosen:
+            self.pool.set_connection_limit(target.target_id, subset.connections)
+
+    def own_place(self):
+        """Return this host as the subsetting sees it."""
+        return HostPlace(self.identity.host_id, self.identity.failure_domain)
+
+    def host_places(self):
+        """Return the hosts among which the targets' connections are shared."""
+        places = [self.own_place()]
+        for host in self.host_list.hosts:
+            if host.host_id != self.identity.host_id:
+                places.append(HostPlace(host.host_id, host.failure_domain))
+        return places
 
     def service_of(self, name):
         """Return the service of a name, or None."""
