--- a/oleanderroute/entry/attempts.py
+++ b/oleanderroute/entry/attempts.py
@@ -236,7 +236,7 @@
         """Report a connection that broke while the request ran."""
         if isinstance(error, ConnectionBroken) and error.bytes_sent:
             self.crashes.report(
-                context.route.service, context.fingerprint, target.target_id
+                context.route.service, context.crash_fingerprint(), target.target_id
             )
 
     def is_worth_retry(self, context, result):
--- a/oleanderroute/entry/context.py
+++ b/oleanderroute/entry/context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..decisions.fingerprint import crash_fingerprint
 from ..declaration.model import Repeatability, Route
 from ..ids import Fingerprint, TargetId, Workspace
 from ..outcome import CallerOutcome
@@ -49,6 +50,22 @@
     body_consumed: bool = False
     shed_count: int = 0
 
+    def crash_fingerprint(self):
+        """Return the fingerprint under which a crash of this request is counted.
+
+        It is worked out on demand: few requests meet a crash or a quarantine.
+        """
+        if self.fingerprint is None:
+            request = self.request
+            self.fingerprint = crash_fingerprint(
+                request.method,
+                request.path,
+                self.workspace,
+                self.idempotency_key,
+                self.head.content,
+            )
+        return self.fingerprint
+
     @property
     def is_idempotent(self):
         """Whether the request may run more than once."""
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -7,7 +7,6 @@
 from ..decisions.fingerprint import (
     claim_fingerprint,
     claim_key,
-    crash_fingerprint,
 )
 from ..errors import CallerDisconnected
 from ..ids import ServiceName, Workspace
@@ -170,15 +169,7 @@
 
     async def run(self, context):
         """Check quarantine and claim, then try targets."""
-        request = context.request
-        context.fingerprint = crash_fingerprint(
-            request.method,
-            request.path,
-            context.workspace,
-            context.idempotency_key,
-            context.head.content,
-        )
-        if self.quarantine.is_refused(context.fingerprint, self.clock.now()):
+        if self.is_quarantined(context):
             # The requests that led to the quarantine did reach targets.
             context.may_have_run = not context.is_idempotent
             return self.refuse(context, RefusalReason.CRASH_QUARANTINE)
@@ -191,6 +182,13 @@
             self.settle_claim(context, answer)
         return answer
 
+    def is_quarantined(self, context):
+        """Tell whether a request is refused for having crashed targets."""
+        if not self.quarantine.refused:
+            return False
+        fingerprint = context.crash_fingerprint()
+        return self.quarantine.is_refused(fingerprint, self.clock.now())
+
     async def run_claimed(self, context):
         """Try targets; a body that ends badly is a refusal like others."""
         try:
