Answer requests that meet an unexpected failure, and key claims by path

A request that hit a programming error was answered by uvicorn without an outcome. A claim no longer depends on the id of the route, which an operator may rename between a request and its resend.

--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -3,12 +3,13 @@
 import asyncio
 from dataclasses import dataclass
 
+from .. import events
 from ..decisions.claims import DecisionKind, RecordedAnswer
 from ..decisions.fingerprint import (
     claim_fingerprint,
     claim_key,
 )
-from ..errors import CallerDisconnected
+from ..errors import CallerDisconnected, format_failure
 from ..ids import ServiceName, Workspace
 from ..outcome import CallerOutcome
 from .attempts import AttemptRunner
@@ -116,6 +117,12 @@
             return self.refuse_early(request, RefusalReason.BODY_TOO_LARGE)
         except CallerDisconnected:
             return self.refuse_early(request, RefusalReason.BODY_INCOMPLETE)
+        except Exception as error:
+            # Whether a target was reached is not known here.
+            events.REQUEST_FAILED.log(
+                request=request.request_id, error=format_failure(error)
+            )
+            return refuse(RefusalReason.INTERNAL, CallerOutcome.UNKNOWN)
         finally:
             self.in_flight -= 1
 
@@ -208,8 +215,12 @@
             The answer when the request must not run, None when it may.
         """
         request = context.request
+        # Not the route's id: an operator may rename a route between a request and
+        # its resend.
         key = claim_key(
-            context.workspace, context.route.route_id, context.idempotency_key
+            context.workspace,
+            f"{request.method} {request.path}",
+            context.idempotency_key,
         )
         fingerprint = claim_fingerprint(
             request.method,
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -1,5 +1,7 @@
 """The exception family of the package. Each failure has a type."""
 
+import traceback
+
 
 class OleanderError(Exception):
     """Base class of all failures that this package raises or returns."""
@@ -123,3 +125,11 @@
 
 class CallerDisconnected(OleanderError):
     """The caller closed its connection before its request or answer was complete."""
+
+
+def format_failure(error):
+    """Return the innermost failure of a group with its place in the code."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{error!r} at {frame.filename}:{frame.lineno}"
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -102,6 +102,11 @@
     401, "callers_cut", "Requests in flight were cut at the time limit of a stop."
 )
 
+# 450-499: requests
+REQUEST_FAILED = define(
+    450, "request_failed", "A request met an unexpected failure of the daemon."
+)
+
 # 500-549: detection
 VERDICT_CHANGED = define(
     500, "verdict_changed", "The aggregator changed the state of a target."
--- a/oleanderroute/tasks/base.py
+++ b/oleanderroute/tasks/base.py
@@ -1,10 +1,10 @@
 """Base class of the daemon's long-running tasks and their supervision."""
 
 import asyncio
-import traceback
 from abc import ABC, abstractmethod
 
 from .. import events
+from ..errors import format_failure
 
 # Pause before a failed task is started again, so that a permanent fault does not
 # spin.
@@ -19,14 +19,6 @@
         """Work until cancelled."""
 
 
-def format_failure(error):
-    """Return the innermost failure of a group with its place in the code."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    frame = traceback.extract_tb(error.__traceback__)[-1]
-    return f"{error!r} at {frame.filename}:{frame.lineno}"
-
-
 async def supervise(task):
     """Run ``task`` and start it again after a failure.
 
