Hold the claims of a service in the service's region

An entry ranked the holders of its own region, so a resend that entered in the other region would have met other holders and run a second time.

--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -15,7 +15,7 @@
 
 from . import events
 from .clock import SystemClock
-from .decisions.claims import ClaimLimits, ClaimTable, HolderView, RankedHost
+from .decisions.claims import ClaimLimits, ClaimTable, HolderView
 from .decisions.quarantine import Quarantine
 from .entry.app import CallerApplication
 from .entry.attempts import AttemptRunner
@@ -42,6 +42,7 @@
 from .tasks.bootstrap import INCARNATION_KIND, BootstrapTask
 from .tasks.claimclient import ClaimClient
 from .tasks.claimservice import ClaimHolder
+from .tasks.claimviews import ClaimViews
 from .tasks.configuration import ConfigurationTask
 from .tasks.crashreports import CrashReporter
 from .tasks.distribution import Distribution, seed_addresses
@@ -146,8 +147,9 @@
             CLAIM_LIFETIME_S, limits, self.clock, self.holder_view
         )
         self.claim_holder = ClaimHolder(self.claim_table, self.clock, self.metrics)
+        self.claim_views = ClaimViews(self.holder_view, self.identity.region)
         self.claims = ClaimClient(
-            self.holder_view,
+            self.claim_views,
             self.topology,
             self.messenger,
             CLAIM_LIFETIME_S,
@@ -303,11 +305,7 @@
     def on_hosts(self, host_list):
         """Follow a new host list."""
         self.topology.update(host_list)
-        ranked = []
-        for host in host_list.hosts:
-            if host.region == self.identity.region:
-                ranked.append(RankedHost(host.host_id, host.failure_domain))
-        self.holder_view.update(host_list.version, ranked, self.clock.now())
+        self.claim_views.update(host_list, self.clock.now())
         self.serving.on_hosts(host_list)
         events.HOST_LIST_CHANGED.log(
             version=host_list.version, hosts=len(host_list.hosts)
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -230,7 +230,8 @@
             context.head.content,
         )
         time_budget_s = context.deadline_at - self.clock.now()
-        handle = await self.claims.claim(key, fingerprint, time_budget_s)
+        region = context.entry.service.region
+        handle = await self.claims.claim(region, key, fingerprint, time_budget_s)
         kind = handle.decision.kind
         if kind is DecisionKind.GRANTED:
             context.claim = handle
--- a/oleanderroute/tasks/claimclient.py
+++ b/oleanderroute/tasks/claimclient.py
@@ -52,7 +52,7 @@
 
     Parameters
     ----------
-    view : HolderView
+    views : ClaimViews
     topology : Topology
     messenger : Messenger
     lifetime_s : float
@@ -60,8 +60,8 @@
     clock : Clock
     """
 
-    def __init__(self, view, topology, messenger, lifetime_s, limits, clock):
-        self.view = view
+    def __init__(self, views, topology, messenger, lifetime_s, limits, clock):
+        self.views = views
         self.topology = topology
         self.messenger = messenger
         self.lifetime_s = lifetime_s
@@ -69,11 +69,13 @@
         self.clock = clock
         self.updates = set()
 
-    async def claim(self, key, fingerprint, time_budget_s):
+    async def claim(self, region, key, fingerprint, time_budget_s):
         """Run one claim round.
 
         Parameters
         ----------
+        region : Region
+            Region of the service.
         key : ClaimKey
         fingerprint : Fingerprint
         time_budget_s : float
@@ -84,7 +86,7 @@
         ClaimHandle
         """
         owner = ClaimOwner(secrets.token_urlsafe(OWNER_BYTES))
-        holders = self.view.holders(key, self.clock.now())
+        holders = self.views.of(region).holders(key, self.clock.now())
         claim_round = ClaimRound(
             holders, owner, self.lifetime_s, self.limits, self.clock
         )
@@ -196,7 +198,7 @@
     def heirs_of(self, key):
         """Return the other holders of a key."""
         own_id = self.topology.own.host_id
-        holders = self.view.holders(key, self.clock.now())
+        holders = self.views.own.holders(key, self.clock.now())
         return [holder for holder in holders if holder != own_id]
 
     async def hand_over_batch(self, holder, messages):
