--- a/oleanderroute/entry/context.py
+++ b/oleanderroute/entry/context.py
@@ -4,7 +4,7 @@
 
 from ..decisions.fingerprint import crash_fingerprint
 from ..declaration.model import Repeatability, Route
-from ..ids import Fingerprint, TargetId, Workspace
+from ..ids import Fingerprint, Region, TargetId, Workspace
 from ..outcome import CallerOutcome
 from .messages import BodyHead, CallerRequest
 from .service_entry import ServiceEntry
@@ -20,6 +20,9 @@
 
     Attributes
     ----------
+    claim_region : Region
+        Region of the declared service, also while a fallback serves the request: a
+        resend must meet the same claim holders.
     deadline_at : float
         Monotonic seconds.
     idempotency_key : str or None
@@ -39,6 +42,7 @@
     route: Route
     entry: ServiceEntry
     workspace: Workspace
+    claim_region: Region
     deadline_at: float
     idempotency_key: str | None
     head: BodyHead = field(default_factory=lambda: BodyHead(b"", True))
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -144,6 +144,7 @@
             route=route,
             entry=view.entries[self.service_for(route.service)],
             workspace=Workspace(headers.workspace or ""),
+            claim_region=view.entries[route.service].service.region,
             deadline_at=request.received_at + deadline_s,
             idempotency_key=headers.key,
         )
@@ -230,8 +231,9 @@
             context.head.content,
         )
         time_budget_s = context.deadline_at - self.clock.now()
-        region = context.entry.service.region
-        handle = await self.claims.claim(region, key, fingerprint, time_budget_s)
+        handle = await self.claims.claim(
+            context.claim_region, key, fingerprint, time_budget_s
+        )
         kind = handle.decision.kind
         if kind is DecisionKind.GRANTED:
             context.claim = handle
