--- /dev/null
+++ b/features/support/claims_machine.py
@@ -0,0 +1,159 @@
+"""The hypothesis state machine that drives the world of claims."""
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    get_state_machine_test,
+    precondition,
+    rule,
+)
+
+from features.support.claims_world import DOMAINS, LIFETIME_S, LIMITS, POLL_S, World
+from oleanderroute.decisions.holder_view import rank_score
+
+HOST_IDS = [f"{d}{n}" for d in DOMAINS for n in (1, 2, 3)]
+# Around the vote window, the list staleness, the dispatch limit and the lifetime.
+DELAYS_S = st.sampled_from([1, 1, 9, 11, 40, 59, 61, 250, 539, 571, 591, 601, 661])
+# Bits of the holders that a message reaches; majorities are the telling cases.
+REACHED = st.sampled_from([7, 3, 5, 6, 7, 3, 5, 6, 1, 0])
+ANSWERED = st.sampled_from([7, 7, 7, 7, 7, 3, 5, 6, 0])
+STARTS = st.sampled_from([True, True, True, False])
+INDEX = st.integers(0, 3)
+KEYS = st.sampled_from([0, 0, 0, 1])
+# Hosts by their rank for a key: the first few decide, others change little.
+RANKS = st.sampled_from([0, 0, 1, 1, 2, 2, 3, 3, 4, 5])
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    protocol = None
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(self.protocol)
+        self.keys = []
+        self.renew_keys()
+
+    @rule()
+    def renew_keys(self):
+        """Callers' keys made now: one opaque, one UUIDv7 by a fast clock."""
+        created_ms = int(self.world.clock.wall() * 1000) + 9000
+        self.keys = [f"o:{created_ms}", f"t:{created_ms}:key"]
+
+    def pick(self, items, index):
+        return items[index % len(items)]
+
+    def ranked(self, key, rank):
+        scores = {host: rank_score(self.keys[key], host) for host in HOST_IDS}
+        return sorted(HOST_IDS, key=scores.get, reverse=True)[rank]
+
+    @rule(seconds=DELAYS_S)
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @rule()
+    def settle(self):
+        """Faults end, hosts grow old, callers use new keys."""
+        for host in self.world.versions[-1]:
+            if host.host_id not in self.world.processes:
+                self.world.restart(host.host_id)
+            self.world.processes[host.host_id].is_cut = False
+        self.world.advance(LIFETIME_S + LIMITS.list_staleness_s + POLL_S)
+        self.renew_keys()
+
+    @rule(
+        key=KEYS,
+        version=INDEX,
+        asked=REACHED,
+        answered=ANSWERED,
+        starts=STARTS,
+        freezes=st.booleans(),
+    )
+    def whole_round(self, key, version, asked, answered, starts, freezes):
+        """One request from start to end, with losses in either direction."""
+        attempt = self.open_attempt(key, version)
+        for number, holder in enumerate(attempt.round.holders):
+            if asked & 1 << number:
+                self.world.deliver_request(attempt, holder)
+        lost = [h for n, h in enumerate(attempt.round.holders) if not answered & 1 << n]
+        self.world.deliver_votes(attempt, lost)
+        attempt.round.decision()
+        if not freezes:
+            self.world.finish(attempt, starts, answered)
+
+    @rule(key=KEYS, version=INDEX)
+    def start_round(self, key, version):
+        """A round whose messages are delivered later, or never."""
+        self.open_attempt(key, version)
+
+    def open_attempt(self, key, version):
+        back = version % min(3, len(self.world.versions))
+        last = len(self.world.versions) - 1
+        return self.world.open_attempt(self.pick(self.keys, key), last - back)
+
+    @precondition(lambda self: self.world.attempts)
+    @rule(index=INDEX, holder=INDEX, with_vote=st.booleans())
+    def deliver(self, index, holder, with_vote):
+        """A delayed, repeated or reordered message; also a frozen holder's vote."""
+        attempt = self.world.attempts[-1 - index % len(self.world.attempts)]
+        if attempt.round.holders:
+            chosen = self.pick(attempt.round.holders, holder)
+            self.world.deliver_request(attempt, chosen)
+        if with_vote:
+            self.world.deliver_votes(attempt)
+            attempt.round.decision()
+
+    @precondition(lambda self: self.world.attempts)
+    @rule(index=INDEX, starts=STARTS, reach=REACHED)
+    def resume_and_finish(self, index, starts, reach):
+        """An entry, frozen since the last step of its round, goes on."""
+        attempt = self.world.attempts[-1 - index % len(self.world.attempts)]
+        self.world.finish(attempt, starts, reach)
+
+    @rule(key=KEYS, rank=RANKS)
+    def kill(self, key, rank):
+        self.world.processes.pop(self.ranked(key, rank), None)
+
+    @rule(key=KEYS, rank=RANKS)
+    def restart(self, key, rank):
+        self.world.restart(self.ranked(key, rank))
+
+    @rule(key=KEYS, rank=RANKS, is_listed=st.booleans())
+    def relist(self, key, rank, is_listed):
+        host_id = self.ranked(key, rank)
+        self.world.relist(host_id, is_listed)
+        if is_listed and host_id not in self.world.processes:
+            self.world.restart(host_id)
+
+    @rule(key=KEYS, rank=RANKS, is_cut=st.booleans())
+    def cut_from_platform(self, key, rank, is_cut):
+        host_id = self.ranked(key, rank)
+        if host_id in self.world.processes:
+            self.world.processes[host_id].is_cut = is_cut
+
+    @rule(key=KEYS, rank=RANKS, other=RANKS)
+    def hand_over(self, key, rank, other):
+        processes = self.world.processes
+        source, destination = self.ranked(key, rank), self.ranked(key, other)
+        if source not in processes or destination not in processes:
+            return
+        now = self.world.clock.now()
+        exports = processes[source].table.export(now)
+        processes[destination].table.absorb(exports, now)
+
+
+def run_claims_machine(protocol, seed_number, examples):
+    """Drive one protocol; raises the first LedgerViolation."""
+    machine = type("Machine", (ClaimsMachine,), {"protocol": protocol})
+    options = settings(
+        max_examples=examples,
+        stateful_step_count=40,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        report_multiple_bugs=False,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    test = get_state_machine_test(machine, settings=options)
+    seed(seed_number)(test)()
--- a/oleanderroute/decisions/claim_round.py
+++ b/oleanderroute/decisions/claim_round.py
@@ -37,6 +37,8 @@
     started_unix_s : float
     """
 
+    grants_needed = GRANTS_NEEDED
+
     def __init__(self, holders, owner, lifetime_s, limits, clock):
         self.holders = tuple(holders)
         self.owner = owner
@@ -88,7 +90,7 @@
         # A frozen entry must not act on votes whose claims may have expired.
         if self.is_window_closed():
             return against or self._unknown(DecisionReason.WINDOW_CLOSED)
-        if against is None and self._count(VoteKind.GRANTED) >= GRANTS_NEEDED:
+        if against is None and self._count(VoteKind.GRANTED) >= self.grants_needed:
             return ClaimDecision(
                 DecisionKind.GRANTED, DecisionReason.MAJORITY, self.owner
             )
@@ -129,7 +131,7 @@
         return strongest
 
     def _without_majority(self):
-        if len(self.holders) < GRANTS_NEEDED:
+        if len(self.holders) < self.grants_needed:
             return self._unknown(DecisionReason.TOO_FEW_HOLDERS)
         if self._proves_no_claim():
             return ClaimDecision(DecisionKind.NOT_RUN, DecisionReason.HOLDERS_FULL)
@@ -147,7 +149,7 @@
         for vote in self.votes.values():
             if vote.reason is VoteReason.TABLE_FULL:
                 full += 1
-        return full >= GRANTS_NEEDED
+        return full >= self.grants_needed
 
     def _count(self, kind):
         count = 0
