--- a/bench/admission_trial.py
+++ b/bench/admission_trial.py
@@ -38,7 +38,8 @@
 MEDIAN_SERVICE_S = 0.03
 TAIL_SIGMA = 1.0
 LONG_SERVICE_S = 3.0
-# A target works on a refusal as well, about as long as on a probe.
+# A target works on a refusal as well: about the cost of a connection (1 ms) and as
+# much again. What it runs is delayed by that time.
 REFUSAL_COST_S = 0.002
 MAX_ATTEMPTS = 3
 SEEDS = (1, 2, 3, 4, 5)
@@ -52,6 +53,7 @@
     has_admission: bool
     has_early_refusal: bool
     has_budget: bool
+    has_home_target: bool = False
 
 
 VARIANTS = (
@@ -60,6 +62,8 @@
     Variant("queue only", True, False, False),
     Variant("queue and early refusal", True, True, False),
     Variant("all", True, True, True),
+    Variant("home targets, nothing else", False, False, False, True),
+    Variant("home targets and all", True, True, True, True),
 )
 
 
@@ -138,6 +142,8 @@
             self.admissions.append(self.build_admission(service, limits))
             self.budgets.append(RetryBudget(self.clock, self.rng))
         self.busy = [0] * TARGETS
+        self.uses_home = [0] * HOSTS
+        self.refusal_work_s = [0.0] * TARGETS
         self.done = []
         self.waits = []
         self.attempts = 0
@@ -215,24 +221,41 @@
         for ticket in self.admissions[host].expire(now):
             self.finish(self.waiting_request(ticket), "refused")
 
+    def choose(self, host):
+        """Return a target: the host's idle home target, else the better of two."""
+        if self.variant.has_home_target and not self.uses_home[host]:
+            return host * TARGETS // HOSTS
+        first, second = self.rng.randrange(TARGETS), self.rng.randrange(TARGETS)
+        return min(first, second, key=lambda number: self.busy[number])
+
     def dispatch(self, request):
-        """Send a request to the less busy of two random targets."""
+        """Send a request to a target, which may refuse it."""
         now = self.clock.now()
         request.attempts += 1
         self.attempts += 1
-        first, second = self.rng.randrange(TARGETS), self.rng.randrange(TARGETS)
-        target = min(first, second, key=lambda number: self.busy[number])
+        target = self.choose(request.host)
         if self.busy[target] >= SLOTS_PER_TARGET:
+            self.refusal_work_s[target] += REFUSAL_COST_S
             self.at(now + REFUSAL_COST_S, self.refused, request)
             return
         self.busy[target] += 1
+        if target == request.host * TARGETS // HOSTS:
+            self.uses_home[request.host] += 1
         self.waits.append((request.ticket.request_class, now - request.arrived_at))
-        self.at(now + request.service_s, self.served, request, target, now)
+        work_s = self.refusal_work_s[target]
+        self.at(now + request.service_s, self.served, request, target, now, work_s)
 
-    def served(self, request, target, started_at):
-        """End a run on a target."""
+    def served(self, request, target, started_at, earlier_work_s):
+        """End a run on a target, or prolong it by the refusals since its start."""
         now = self.clock.now()
+        work_s = self.refusal_work_s[target]
+        if work_s > earlier_work_s:
+            later = now + work_s - earlier_work_s
+            self.at(later, self.served, request, target, started_at, work_s)
+            return
         self.busy[target] -= 1
+        if target == request.host * TARGETS // HOSTS:
+            self.uses_home[request.host] -= 1
         self.budgets[request.host].record_attempt(False, now)
         self.budgets[request.host].record_success(now)
         self.free(request, AttemptKind.OK, now - started_at)
