End peer connections quietly and survive refused messages

Cause: the task group of a peer connection wrapped the end of the stream in an exception group, so each closed connection left a traceback on standard error; and a handler that raised on a bad field ended the connection with all its requests.

--- a/oleanderroute/peer/server.py
+++ b/oleanderroute/peer/server.py
@@ -81,8 +81,6 @@
         try:
             if self.is_allowed(writer):
                 await self.answer_requests(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
-            pass
         except asyncio.CancelledError:
             # Ending quietly keeps asyncio's stream callback from logging a stop.
             pass
@@ -105,36 +103,54 @@
         events.PEER_MESSAGE_DROPPED.log(reason=reason, source=source)
 
     async def answer_requests(self, reader, writer):
-        """Read frames one after another; each is answered in its own task."""
+        """Read frames one after another; slow answers get a task of their own."""
         source = str(writer.get_extra_info("peername"))
         async with asyncio.TaskGroup() as group:
             while True:
-                async with asyncio.timeout(IDLE_CLOSE_S):
-                    prefix = await reader.readexactly(FRAME_LENGTH.size)
-                    (length,) = FRAME_LENGTH.unpack(prefix)
-                    if length > MAX_FRAME_BYTES:
-                        self.drop("oversized frame", source)
-                        return
-                    body = await reader.readexactly(length)
-                try:
-                    request = decode_request(body)
-                    check_header(request.header, self.fleet)
-                    kind, value = body_kind(request.body)
-                    handler = self.handlers[kind]
-                except MessageRejected as error:
-                    self.drop(str(error), source)
-                    continue
-                except KeyError:
-                    self.drop("no handler for the kind of message", source)
-                    continue
-                if self.link_filter.drops_incoming(request.header.failure_domain):
-                    continue
-                self.on_header(request.header)
-                result = handler(value, request.header)
-                if inspect.isawaitable(result):
-                    group.create_task(self.reply_later(writer, request, result))
-                    continue
-                self.reply(writer, request, result)
+                frame = await self.read_frame(reader, source)
+                if frame is None:
+                    return
+                self.answer_frame(frame, source, writer, group)
+
+    async def read_frame(self, reader, source):
+        """Return the next frame, or None at the end of the connection."""
+        try:
+            async with asyncio.timeout(IDLE_CLOSE_S):
+                prefix = await reader.readexactly(FRAME_LENGTH.size)
+                (length,) = FRAME_LENGTH.unpack(prefix)
+                if length > MAX_FRAME_BYTES:
+                    self.drop("oversized frame", source)
+                    return None
+                return await reader.readexactly(length)
+        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+            return None
+
+    def answer_frame(self, frame, source, writer, group):
+        """Answer one frame, now or in a task of ``group``."""
+        try:
+            request = decode_request(frame)
+            check_header(request.header, self.fleet)
+            kind, value = body_kind(request.body)
+        except MessageRejected as error:
+            self.drop(str(error), source)
+            return
+        handler = self.handlers.get(kind)
+        if handler is None:
+            self.drop("no handler for the kind of message", source)
+            return
+        if self.link_filter.drops_incoming(request.header.failure_domain):
+            return
+        self.on_header(request.header)
+        try:
+            result = handler(value, request.header)
+        except Exception as error:
+            # A field of a wrong value must not end the sender's connection.
+            self.drop(f"refused by its handler: {error!r}", source)
+            return
+        if inspect.isawaitable(result):
+            group.create_task(self.reply_later(writer, request, result))
+            return
+        self.reply(writer, request, result)
 
     async def reply_later(self, writer, request, awaitable):
         """Send a reply once its handler has finished."""
