--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -97,6 +97,17 @@
     When the configuration store is down for two watches of every relay
     Then the configuration relays paused different times up to 5 s
 
+  Scenario Outline: A host list answer from a peer of version <version> is <effect>
+    Given a configuration fleet of 1 domain with 4 hosts
+    When a configuration peer of host list version <version> answers 30 s late
+    Then the configuration host list is of version <held> and <effect>
+
+    Examples:
+      | version | held | effect                       |
+      | 1       | 2    | not confirmed                |
+      | 2       | 2    | confirmed as of the question |
+      | 3       | 3    | confirmed as of the question |
+
   Scenario: Changes of the host list add up to the complete list
     Then any sequence of host lists sent as configuration changes equals the lists
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -390,6 +390,31 @@
     assert max(pauses) - min(pauses) > 1
 
 
+@when("a configuration peer of host list version {version:d} answers 30 s late")
+def step_late_answer(context, version):
+    asking, answering = context.members[:2]
+    clock = context.network.clock
+    hosts = context.network.host_list.hosts
+    asking.hosts.install(HostList(2, hosts, ()))
+    answering.hosts.install(HostList(version, hosts, ()))
+    answer = answering.handlers["host_list_request"]
+
+    def late(request, header):
+        clock.advance(30)
+        return answer(request, header)
+
+    answering.handlers["host_list_request"] = late
+    context.asked_at = clock.now()
+    asyncio.run(asking.hosts.fetch_from_peer(peer_address(answering.host)))
+
+
+@then("the configuration host list is of version {version:d} and {effect}")
+def step_confirmed(context, version, effect):
+    task = context.members[0].hosts
+    expected = context.asked_at if "question" in effect else float("-inf")
+    assert (task.version, task.confirmed_at) == (version, expected)
+
+
 @then("any sequence of host lists sent as configuration changes equals the lists")
 def step_host_lists(context):
     states = st.sampled_from(list(MemberState))
--- a/oleanderroute/tasks/hosts.py
+++ b/oleanderroute/tasks/hosts.py
@@ -31,9 +31,12 @@
 # configuration task's poll and the fetches must fit into that.
 RELAY_POLL_PERIOD_S = 0.5
 FETCH_TIMEOUT_S = 2.0
-# A host that neither platform nor peer confirmed the list to for this long asks the
-# platform itself, at a random time so that a fleet does not ask at once.
-UNCONFIRMED_LIMIT_S = 5.0
+# A list not confirmed for this long is confirmed with a peer. Claim holders refuse
+# to vote after 60 s.
+CONFIRM_AGE_S = 5.0
+# A host whose peers do not confirm the list for this long asks the platform itself,
+# at a random time so that a fleet does not ask at once.
+PLATFORM_AGE_S = 15.0
 JITTER_S = 5.0
 START_JITTER_S = 1.0
 CHECK_PERIOD_S = 1.0
@@ -95,7 +98,7 @@
         """Follow the list until cancelled."""
         await self.find_first_list()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.poll_platform())
+            group.create_task(self.keep_current())
             group.create_task(self.follow_peers())
 
     async def find_first_list(self):
@@ -107,23 +110,38 @@
             await self.sleep(self.rng.uniform(0, START_JITTER_S))
             await self.poll_once()
 
-    async def poll_platform(self):
-        """Poll as a relay; otherwise only when nobody confirms the list."""
+    async def keep_current(self):
+        """Poll the platform as a relay, and confirm the list with peers otherwise."""
         while True:
             if self.distribution.is_relay:
                 await self.poll_once()
-                pause_s = JITTER_S if self.platform_down else RELAY_POLL_PERIOD_S
-                await self.sleep(pause_s * self.rng.uniform(0.5, 1.0))
-                continue
-            await self.sleep(CHECK_PERIOD_S)
-            if self.is_unconfirmed():
-                await self.sleep(self.rng.uniform(0, JITTER_S))
-                if self.is_unconfirmed():
-                    await self.poll_once()
-
-    def is_unconfirmed(self):
-        """Tell whether the list was not confirmed for ``UNCONFIRMED_LIMIT_S``."""
-        return self.clock.now() - self.confirmed_at > UNCONFIRMED_LIMIT_S
+            await self.sleep(self.pause_s())
+            await self.confirm()
+
+    def pause_s(self):
+        """Return the time to the next poll or check in seconds."""
+        if not self.distribution.is_relay:
+            return CHECK_PERIOD_S
+        if self.platform_down:
+            return self.rng.uniform(0, JITTER_S)
+        return RELAY_POLL_PERIOD_S * self.rng.uniform(0.8, 1.0)
+
+    def age_s(self):
+        """Return the time since the list was confirmed, in seconds."""
+        return self.clock.now() - self.confirmed_at
+
+    async def confirm(self):
+        """Confirm an unconfirmed list with a peer, at last with the platform."""
+        if self.age_s() <= CONFIRM_AGE_S:
+            return
+        for peer in self.distribution.poll_candidates():
+            await self.fetch_from_peer(peer)
+            if self.age_s() <= CONFIRM_AGE_S:
+                return
+        if self.distribution.is_relay or self.age_s() <= PLATFORM_AGE_S:
+            return
+        await self.sleep(self.rng.uniform(0, JITTER_S))
+        await self.poll_once()
 
     async def poll_once(self):
         """Ask the platform for a newer list.
@@ -152,11 +170,7 @@
 
     def on_peer_header(self, header):
         """Note the version in a header; called for each peer message."""
-        if header.host_list_version < self.version:
-            return
-        if header.host_list_version == self.version:
-            if self.version > 0:
-                self.confirmed_at = self.clock.now()
+        if header.host_list_version <= self.version:
             return
         peer = self.distribution.find_peer(header.host_id)
         if peer is not None:
@@ -182,26 +196,36 @@
     async def fetch_from_peer(self, peer):
         """Get a newer list, or its changes, from one peer.
 
+        The list counts as confirmed as of the question: a message may have waited
+        for long in the buffers of a host that was paused.
+
         Returns
         -------
         newer : bool
             Whether a newer list was received.
         """
         request = HostListRequest(known_version=self.version)
+        asked_at = self.clock.now()
         try:
             reply = await self.peers.request(
                 peer, "host_list_request", request, timeout_s=FETCH_TIMEOUT_S
             )
-            if reply.document is None or reply.version <= self.version:
+            if reply.version <= self.version or reply.document is None:
+                self.confirm_version(reply.version, asked_at)
                 return False
             host_list = self.history.decode(reply, self.current)
         except (PeerError, MalformedHostList) as error:
             events.PEER_FETCH_FAILED.log(peer=peer.host_id, reason=str(error))
             return False
-        self.confirmed_at = self.clock.now()
         self.install(host_list)
+        self.confirm_version(host_list.version, asked_at)
         return True
 
+    def confirm_version(self, version, asked_at):
+        """Note that ``version`` was shown to be current at ``asked_at``."""
+        if version == self.version and version > 0:
+            self.confirmed_at = max(self.confirmed_at, asked_at)
+
     def answer_host_list(self, request, header):
         """Send the list, or its changes since the version that the peer knows."""
         if request.known_version >= self.version:
