--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -218,10 +218,26 @@
     return 0
 
 
-def cpu_seconds(pid):
-    """Return the processor time that a process has used, in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+@dataclass(frozen=True, slots=True)
+class ProcessorUse:
+    """What a process has used of the processors since its start, in microseconds.
+
+    Attributes
+    ----------
+    running_us : float
+    waiting_us : float
+        Time in which the process was ready and had to wait for a processor. It says
+        how much of the latency is the load of the machine.
+    """
+
+    running_us: float
+    waiting_us: float
+
+
+def processor_use(pid):
+    """Return the ``ProcessorUse`` of a process."""
+    running_ns, waiting_ns, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+    return ProcessorUse(int(running_ns) / 1000, int(waiting_ns) / 1000)
 
 
 async def memory(port, pid):
@@ -247,14 +263,17 @@
 
 async def comparisons(names, pids, run):
     """Return each relay's comparison with the direct exchanges of ``run``."""
-    before = [cpu_seconds(pid) for pid in pids]
+    before = [processor_use(pid) for pid in pids]
     samples = await run
     report = {}
     for index, name in enumerate(names):
         latencies = samples[index + 1]
-        used_s = cpu_seconds(pids[index]) - before[index]
+        use = processor_use(pids[index])
+        running_us = (use.running_us - before[index].running_us) / len(latencies)
+        waiting_us = (use.waiting_us - before[index].waiting_us) / len(latencies)
         report[name] = asdict(compare(samples[0], latencies))
-        report[name]["cpu_us_per_request"] = round(used_s / len(latencies) * 1e6)
+        report[name]["running_us_per_request"] = round(running_us, 1)
+        report[name]["waiting_us_per_request"] = round(waiting_us, 1)
     return report
 
 
--- a/oleanderroute/entry/app.py
+++ b/oleanderroute/entry/app.py
@@ -92,18 +92,16 @@
         request = self.make_request(scope, receive)
         answer = await self.handle(request)
         headers = answer_head(answer, request.request_id)
-        start = {
-            "type": "http.response.start",
-            "status": answer.status,
-            "headers": headers,
-        }
-        if not isinstance(answer.body, bytes):
-            await stream_answer(start, answer.body, send)
+        status = answer.status
+        body = answer.body
+        start = {"type": "http.response.start", "status": status, "headers": headers}
+        if not isinstance(body, bytes):
+            await stream_answer(start, body, send)
             return
-        if scope["method"] != "HEAD" and answer.status not in BODYLESS_STATUS:
-            set_length(headers, len(answer.body))
+        if scope["method"] != "HEAD" and status not in BODYLESS_STATUS:
+            set_length(headers, len(body))
         await send(start)
-        await send({"type": "http.response.body", "body": answer.body})
+        await send({"type": "http.response.body", "body": body})
 
     def make_request(self, scope, receive):
         """Return the ``CallerRequest`` of an ASGI scope."""
--- a/oleanderroute/entry/caller_cycle.py
+++ b/oleanderroute/entry/caller_cycle.py
@@ -23,8 +23,14 @@
     """An answer's headers or length are not consistent with its body."""
 
 
-def ignore():
-    """Take the place of a callback that must not be called again."""
+class NoWaiter:
+    """Takes the place of an event that nobody waits for yet."""
+
+    def set(self):
+        """Do nothing."""
+
+
+NO_WAITER = NoWaiter()
 
 
 class CallerCycle(RequestResponseCycle):
@@ -33,21 +39,50 @@
     The head of an answer is held until its first body bytes, so that a small answer
     leaves in one piece and a failure before that can still be told as a status.
 
-    Attributes
+    Parameters
     ----------
     protocol : CallerProtocol
+    scope : dict
+        ASGI scope.
+    keep_alive : bool
+    expect_100_continue : bool
+
+    Attributes
+    ----------
     entered : bool
         Whether the application has begun, so that a target may have seen the request.
     head : dict or None
         The ASGI start message that is held.
     remaining : int or None
         Bytes of the body that must follow; None for chunked framing.
+    more_body : bool
+        Whether the caller still has to send a part of its request.
+    ended : bool
+        Whether the application was told the end of the request.
     """
 
-    protocol = None
     entered = False
     head = None
     remaining = 0
+    disconnected = False
+    more_body = True
+    ended = False
+    response_started = False
+    response_complete = False
+    # Most requests have no body, so what only a body needs is made on demand.
+    message_event = NO_WAITER
+    body = b""
+
+    # The base's constructor is not called: it fills 16 attributes for each request,
+    # most of which this class does not use.
+    def __init__(self, protocol, scope, keep_alive, expect_100_continue):
+        self.protocol = protocol
+        self.scope = scope
+        self.method = scope["method"]
+        self.transport = protocol.transport
+        self.flow = protocol.flow
+        self.keep_alive = keep_alive
+        self.waiting_for_100_continue = expect_100_continue
 
     async def run_asgi(self, app):
         """Run the application and end the connection if it fails."""
@@ -61,8 +96,6 @@
         else:
             if not self.response_complete and not self.disconnected:
                 self.protocol.abort()
-        finally:
-            self.on_response = ignore
 
     def application_failed(self, error):
         """Answer 500 if nothing was sent, else reset the connection."""
@@ -77,6 +110,39 @@
         self.head = {"status": 500, "headers": FAILED_HEADERS}
         self.write(b"", False)
 
+    def add_body(self, data):
+        """Keep bytes of the body until the application asks for them."""
+        if not self.body:
+            self.body = data
+        elif isinstance(self.body, bytes):
+            self.body = bytearray(self.body) + data
+        else:
+            self.body += data
+        self.message_event.set()
+
+    async def receive(self):
+        """Return the next ASGI message of the request."""
+        if self.waiting_for_100_continue and not self.transport.is_closing():
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.waiting_for_100_continue = False
+        if not self.body and (self.more_body or self.ended):
+            await self.wait_for_message()
+        if self.disconnected or self.response_complete:
+            return {"type": "http.disconnect"}
+        body = bytes(self.body)
+        self.body = b""
+        self.ended = not self.more_body
+        self.flow.resume_reading()
+        return {"type": "http.request", "body": body, "more_body": self.more_body}
+
+    async def wait_for_message(self):
+        """Wait for bytes, the end of the request or of the connection."""
+        if self.disconnected or self.response_complete:
+            return
+        self.flow.resume_reading()
+        self.message_event = asyncio.Event()
+        await self.message_event.wait()
+
     async def send(self, message):
         """Take an ASGI message; waits while the caller is slower than the target."""
         if self.response_complete:
@@ -92,12 +158,8 @@
 
     def write(self, body, more_body):
         """Write the head if it is due, and a part of the body."""
-        pieces = []
-        if not self.response_started:
-            pieces.append(self.encode_head())
-            self.response_started = True
-            self.waiting_for_100_continue = False
-        if self.scope["method"] != "HEAD":
+        pieces = [] if self.response_started else self.encode_head()
+        if self.method != "HEAD":
             self.frame(body, more_body, pieces)
         self.transport.write(b"".join(pieces))
         if not more_body:
@@ -117,35 +179,31 @@
         pieces.append(body)
 
     def encode_head(self):
-        """Return status line and headers, and set the framing of the body."""
+        """Return status line and headers in pieces, and set the body's framing."""
         status = self.head["status"]
-        headers = self.head["headers"]
-        lines = [STATUS_LINE[status]]
         has_length = False
-        for name, value in headers:
-            if name == b"content-length":
+        pieces = [STATUS_LINE[status]]
+        for header in self.head["headers"]:
+            if header[0] == b"content-length":
                 has_length = True
-                self.remaining = int(value)
-            lines.append(name + b": " + value + b"\r\n")
-        bodyless = status in BODYLESS_STATUS
-        if bodyless:
+                self.remaining = int(header[1])
+            pieces.append(b"%b: %b\r\n" % header)
+        if status in BODYLESS_STATUS:
             self.remaining = 0
-        elif not has_length and self.scope["method"] != "HEAD":
+        elif not has_length and self.method != "HEAD":
             self.remaining = None
-            lines.append(CHUNKED_LINE)
+            pieces.append(CHUNKED_LINE)
         # The rest of an unread body can't be told from the next request.
         if self.more_body:
             self.keep_alive = False
         if not self.keep_alive:
-            lines.append(CLOSE_LINE)
-        expected_lines = len(lines)
-        lines.append(b"\r\n")
-        head = b"".join(lines)
-        if head.count(b"\n") != expected_lines + 1 or head.count(b"\r") != (
-            expected_lines + 1
-        ):
+            pieces.append(CLOSE_LINE)
+        head = b"".join(pieces)
+        if head.count(b"\n") != len(pieces) or head.count(b"\r") != len(pieces):
             raise AnswerFramingError("line break in a header of the answer")
-        return head
+        self.response_started = True
+        self.waiting_for_100_continue = False
+        return [head, b"\r\n"]
 
     def complete(self):
         """End the answer; the connection is closed unless it can be reused."""
@@ -153,4 +211,4 @@
         self.message_event.set()
         if not self.keep_alive:
             self.protocol.linger()
-        self.on_response()
+        self.protocol.on_response_complete()
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -1,6 +1,5 @@
 """Accepts callers' connections: limits, strict framing and disconnects."""
 
-import asyncio
 import socket
 import struct
 from dataclasses import dataclass
@@ -86,6 +85,28 @@
     """A caller sent a request before the answer to the one before."""
 
 
+def checked_path(raw_path):
+    """Return the decoded path of an origin-form request target.
+
+    Dot segments are refused, because a target would resolve them to another path
+    than the route was matched on.
+
+    Raises
+    ------
+    RequestRefused
+    """
+    if not raw_path.startswith(b"/"):
+        raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
+    path = raw_path.decode("latin-1")
+    if "%" in path:
+        path = unquote(path)
+    if "/." in path:
+        segments = path.split("/")
+        if "." in segments or ".." in segments:
+            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
+    return path
+
+
 class CallerProtocol(HttpToolsProtocol):
     """uvicorn's HTTP protocol with bounds on what a caller can do.
 
@@ -125,7 +146,8 @@
         self.discarding = False
         self.lingering = False
         self.raw_bytes = 0
-        self.header_size = 0
+        self.message_complete = True
+        self.header_timed = False
         self.overhead_bytes = 0
         self.body_progress = False
         self.host_count = 0
@@ -162,20 +184,30 @@
         except httptools.HttpParserError as error:
             self.parser_stopped(error.__context__)
         else:
-            self.check_progress(len(data))
+            # A request that arrives in one piece needs no time limit.
+            if not self.message_complete:
+                self.check_progress(len(data))
 
     def check_progress(self, received):
-        """Bound bytes that neither complete the headers nor belong to a body."""
+        """Bound the time of a request that is not complete, and its overhead.
+
+        Overhead is what neither completes the headers nor belongs to the body.
+        """
+        limits = self.limits
         if self.in_headers:
-            if self.raw_bytes > self.limits.header_bytes:
+            if self.raw_bytes > limits.header_bytes:
                 self.refuse(431, RefusalReason.HEADER_SIZE)
+            elif not self.header_timed:
+                self.header_timed = True
+                self.deadline = self.clock.now() + limits.header_s
             return
-        cycle = self.cycle
-        if cycle is None or not cycle.more_body or self.body_progress:
+        if not self.flow.write_paused:
+            self.deadline = self.clock.now() + limits.body_gap_s
+        if self.body_progress:
             self.overhead_bytes = 0
             return
         self.overhead_bytes += received
-        if self.overhead_bytes > self.limits.header_bytes:
+        if self.overhead_bytes > limits.header_bytes:
             self.abort()
 
     def ignore_upgrade(self, has_more):
@@ -220,13 +252,16 @@
             cycle.keep_alive = False
             self.discarding = True
             raise PipelinedRequest("request before the answer to the last")
-        super().on_message_begin()
+        self.url = b""
+        self.headers = []
+        self.expect_100_continue = False
+        self.message_complete = False
         self.in_headers = True
-        self.header_size = 0
+        self.header_timed = False
         self.host_count = 0
         self.content_length = None
         self.transfer_encoding = None
-        self.deadline = self.clock.now() + self.limits.header_s
+        self.deadline = inf
 
     def on_header(self, name, value):
         """Keep a header; trailers after the body are dropped."""
@@ -234,7 +269,6 @@
             return
         name = name.lower()
         value = value.rstrip(b" \t")
-        self.header_size += len(name) + len(value)
         if name in WATCHED:
             self.watch(name, value)
         self.headers.append((name, value))
@@ -253,73 +287,60 @@
     def on_headers_complete(self):
         """Check the request and start the application."""
         self.in_headers = False
-        self.check_head()
-        scope = self.scope
-        scope["method"] = self.parser.get_method().decode("ascii")
-        self.set_target(scope)
-        self.cycle = CallerCycle(
-            scope=scope,
-            transport=self.transport,
-            flow=self.flow,
-            logger=self.logger,
-            access_logger=self.access_logger,
-            access_log=False,
-            default_headers=self.server_state.default_headers,
-            message_event=asyncio.Event(),
-            expect_100_continue=self.expect_100_continue,
-            keep_alive=self.parser.should_keep_alive() and not self.gate.draining,
-            on_response=self.on_response_complete,
-        )
-        self.cycle.protocol = self
-        self.deadline = self.clock.now() + self.limits.body_gap_s
-        self._start_asgi_task(self.cycle, self.app)
+        method = self.parser.get_method()
+        self.check_head(method)
+        raw_path, _, query = self.url.partition(b"?")
+        # Only what the application reads; see the ASGI specification for the rest.
+        scope = {
+            "type": "http",
+            "http_version": "1.1",
+            "method": method.decode("ascii"),
+            "scheme": "http",
+            "path": checked_path(raw_path),
+            "raw_path": raw_path,
+            "query_string": query,
+            "headers": self.headers,
+            "client": self.client,
+            "server": self.server,
+        }
+        keep_alive = self.parser.should_keep_alive() and not self.gate.draining
+        cycle = CallerCycle(self, scope, keep_alive, self.expect_100_continue)
+        self.cycle = cycle
+        task = self.loop.create_task(cycle.run_asgi(self.app))
+        self.task = task
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    def check_head(self):
+    def check_head(self, method):
         """Raise ``RequestRefused`` unless the request's framing is unambiguous."""
-        size = self.header_size + len(self.url)
-        if size > self.limits.header_bytes or len(self.headers) > self.limits.headers:
+        limits = self.limits
+        # The exact size is only needed when the packets so far could exceed it.
+        if len(self.headers) > limits.headers or (
+            self.raw_bytes > limits.header_bytes
+            and self.header_size() > limits.header_bytes
+        ):
             raise RequestRefused(431, RefusalReason.HEADER_SIZE)
         if self.parser.get_http_version() != "1.1":
             raise RequestRefused(505, RefusalReason.VERSION)
+        has_body = self.content_length is not None or self.transfer_encoding is not None
         # The parser skips the body of such a request, so only one without is safe.
-        if self.parser.should_upgrade() and (
-            self.parser.get_method() == b"CONNECT"
-            or self.content_length is not None
-            or self.transfer_encoding is not None
-        ):
+        if self.parser.should_upgrade() and (has_body or method == b"CONNECT"):
             raise RequestRefused(400, RefusalReason.UPGRADE)
         if self.host_count != 1:
             raise RequestRefused(400, RefusalReason.HOST)
+        if b"#" in self.url:
+            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
         if self.transfer_encoding is None:
             return
         if self.transfer_encoding != b"chunked" or self.content_length is not None:
             raise RequestRefused(400, RefusalReason.FRAMING)
 
-    def set_target(self, scope):
-        """Put path and query into ``scope``.
-
-        Only origin-form is accepted. Dot segments are refused, because a target
-        would resolve them to another path than the route was matched on.
-        """
-        raw_path, _, query = self.url.partition(b"?")
-        if not raw_path.startswith(b"/") or b"#" in self.url:
-            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
-        path = raw_path.decode("latin-1")
-        if "%" in path:
-            path = unquote(path)
-        if "/." in path:
-            segments = path.split("/")
-            if "." in segments or ".." in segments:
-                raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
-        scope["path"] = path
-        scope["raw_path"] = raw_path
-        scope["query_string"] = query
-
-    def _start_asgi_task(self, cycle, app):
-        task = self.loop.create_task(cycle.run_asgi(app))
-        task.add_done_callback(self.tasks.discard)
-        self.tasks.add(task)
-        self.task = task
+    def header_size(self):
+        """Return the bytes of the request target and the headers."""
+        size = len(self.url)
+        for name, value in self.headers:
+            size += len(name) + len(value)
+        return size
 
     def on_body(self, body):
         """Keep bytes for the application; pauses the caller when it is slower."""
@@ -327,19 +348,19 @@
         self.body_progress = True
         if cycle.response_complete:
             return
-        cycle.body += body
+        cycle.add_body(body)
         if len(cycle.body) > HIGH_WATER_LIMIT:
             self.flow.pause_reading()
-        self.deadline = self.clock.now() + self.limits.body_gap_s
-        cycle.message_event.set()
 
     def on_message_complete(self):
         """Note the end of the request."""
         cycle = self.cycle
         cycle.more_body = False
         self.raw_bytes = 0
-        self.deadline = inf
-        if not cycle.response_complete:
+        self.message_complete = True
+        if not self.flow.write_paused:
+            self.deadline = inf
+        if cycle.message_event is not None:
             cycle.message_event.set()
 
     # Ends
--- a/oleanderroute/entry/request_writer.py
+++ b/oleanderroute/entry/request_writer.py
@@ -14,11 +14,10 @@
 
 def encode_head(request):
     """Return the request line and the headers of an ``OutgoingRequest``."""
-    lines = [
-        request.method.encode("ascii") + b" " + request.raw_target + b" HTTP/1.1\r\n"
-    ]
-    for name, value in request.headers:
-        lines.append(name + b": " + value + b"\r\n")
+    method = request.method.encode("ascii")
+    lines = [b"%b %b HTTP/1.1\r\n" % (method, request.raw_target)]
+    for header in request.headers:
+        lines.append(b"%b: %b\r\n" % header)
     body = request.body
     if isinstance(body, BodyReader):
         if request.content_length is None:
--- a/oleanderroute/entry/target_connection.py
+++ b/oleanderroute/entry/target_connection.py
@@ -24,9 +24,13 @@
 
 MAX_HEADER_BYTES = 64 * 1024
 
+# Bound once, because looking up an enum member costs more than the transition.
 IDLE = ConnectionState.IDLE
 WAITING = ConnectionState.WAITING
 CLOSED = ConnectionState.CLOSED
+STARTED = ConnectionEvent.STARTED
+ANSWER_STARTED = ConnectionEvent.ANSWER_STARTED
+FINISHED_CLEAN = ConnectionEvent.FINISHED_CLEAN
 
 
 class TargetConnection(AnswerParser, asyncio.Protocol):
@@ -92,7 +96,7 @@
         if state is CLOSED:
             return
         if state is WAITING:
-            self.move(ConnectionEvent.ANSWER_STARTED)
+            self.move(ANSWER_STARTED)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -173,7 +177,7 @@
         TargetError
             With ``bytes_sent`` and ``reused``.
         """
-        self.move(ConnectionEvent.STARTED)
+        self.move(STARTED)
         self.exchanges += 1
         self.reset_answer(request.method)
         self.first_byte_s = first_byte_s
@@ -241,7 +245,7 @@
         if self.method == "HEAD":
             self.parser = None
         self.idle_since = self.clock.now()
-        self.move(ConnectionEvent.FINISHED_CLEAN)
+        self.move(FINISHED_CLEAN)
         self.owner.connection_idle(self)
 
     def end_exchange(self):
