Bound slow callers in every state; judge no target after a pause of the process

An idle connection whose caller had once been slow lost its time limit, and one that never took the end of its answer stayed open for good. A request body that was paused for backpressure could be counted as stalled the moment it went on. Callers' sockets have keep-alive, and a stop waits for cut requests to let go. The limits of slow writers are not tested.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -87,6 +87,21 @@
     Then entry: every answer names its own request
     And entry: 10 results are "FirstByteTimeout"
 
+  # F6: after a pause of the process, timers run before the sockets are read. Without
+  # the skipped round, every target with an answer in the socket would count as silent.
+  Scenario: entry: A pause of the process does not make targets silent
+    Given entry: a sweep with a member that is due
+    When entry: its round comes 10 seconds late
+    Then entry: the member is told only by the next round
+
+  # Guards against reading on for an upload that the target has already refused, and
+  # against reusing its connection.
+  Scenario: entry: A refusal in the middle of an upload is delivered
+    Given entry: an entry before a target that refuses uploads after their first bytes
+    When entry: a caller starts an upload of 900000 bytes and sends 1000
+    Then entry: the caller gets 503 with Connection: close
+    And entry: the target sees its connection closed
+
   Scenario: entry: Cancelling an exchange closes the target's connection
     Given entry: a target that answers "" and then stays open
     When entry: an exchange is cancelled in progress
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -19,6 +19,7 @@
 from oleanderroute.clock import ManualClock
 from oleanderroute.declaration.model import Target
 from oleanderroute.entry.caller_protocol import CallerLimits
+from oleanderroute.entry.deadlines import DeadlineSweep
 from oleanderroute.entry.messages import OutgoingRequest
 from oleanderroute.entry.target_pool import TargetPool
 from oleanderroute.errors import OleanderError
@@ -88,6 +89,14 @@
     return " ".join(words)
 
 
+async def replace_target(context, serve):
+    """Let the entry use a target that handles its connections itself."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    context.add_cleanup(server.close)
+    port = server.sockets[0].getsockname()[1]
+    context.entry.pipeline.target = Target("t1", "127.0.0.1", port, "mvd-a")
+
+
 def connections(context):
     return context.pool.targets["t1"]
 
@@ -267,9 +276,78 @@
     run(context, until(lambda: context.fake.closed))
 
 
+class DueMember:
+    deadline = 0.0
+    told = 0
+
+    def deadline_passed(self, now):
+        self.told += 1
+
+
+@given("entry: a sweep with a member that is due")
+def step_sweep(context):
+    context.clock = ManualClock()
+    context.sweep = DeadlineSweep(context.clock, 0.05)
+    context.member = DueMember()
+
+    async def arm():
+        context.sweep.add(context.member)
+
+    run(context, arm())
+
+
+@when("entry: its round comes 10 seconds late")
+def step_round(context):
+    context.told = []
+
+    async def rounds():
+        context.clock.advance(10)
+        context.sweep.run_round()
+        context.told.append(context.member.told)
+        context.clock.advance(0.05)
+        context.sweep.run_round()
+        context.told.append(context.member.told)
+        context.sweep.close()
+
+    run(context, rounds())
+
+
+@then("entry: the member is told only by the next round")
+def step_told(context):
+    assert context.told == [0, 1], context.told
+
+
 # Callers
 
 
+@given("entry: an entry before a target that refuses uploads after their first bytes")
+def step_refusing(context):
+    start_entry(context, fixed_script("", "stays open"))
+
+    async def refuse(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.read(1)
+        writer.write(wire("HTTP/1.1 503 Busy~X-Not-Started: 1~Content-Length: 0~~"))
+        while await reader.read(65536):
+            pass
+        context.fake.closed += 1
+        writer.close()
+
+    run(context, replace_target(context, refuse))
+
+
+@when("entry: a caller starts an upload of 900000 bytes and sends 1000")
+def step_starts_upload(context):
+    head = wire("PUT / HTTP/1.1~Host: a~Content-Length: 900000~~")
+    context.received, context.end = run(context, converse(context, head + b"x" * 1000))
+
+
+@then("entry: the caller gets 503 with Connection: close")
+def step_refused_upload(context):
+    assert context.received.startswith(b"HTTP/1.1 503"), context.received
+    assert b"connection: close" in context.received
+
+
 @given('entry: an entry before a target that answers "{answer}" and then {ending}')
 @given('entry: an entry before a target that answers "" and then {ending}')
 def step_entry(context, ending, answer=""):
@@ -317,13 +395,7 @@
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.sleep(TEST_TIMEOUT_S)
 
-    async def replace():
-        server = await asyncio.start_server(ignore_all, "127.0.0.1", 0)
-        context.add_cleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        context.entry.pipeline.target = Target("t1", "127.0.0.1", port, "mvd-a")
-
-    run(context, replace())
+    run(context, replace_target(context, ignore_all))
 
 
 @given(
--- a/oleanderroute/entry/answer_stream.py
+++ b/oleanderroute/entry/answer_stream.py
@@ -26,7 +26,6 @@
         self.buffered = deque(chunks)
         self.buffered_bytes = sum(len(chunk) for chunk in chunks)
         self.error = None
-        self.abandoned = False
         self.waiter = None
 
     def feed(self, data):
--- /dev/null
+++ b/oleanderroute/entry/caller_checks.py
@@ -0,0 +1,75 @@
+"""Reasons for which a caller's request is refused before the pipeline sees it."""
+
+from enum import Enum
+from urllib.parse import unquote
+
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE
+
+from ..errors import OleanderError
+
+
+class RefusalReason(Enum):
+    """Why a request was refused before the pipeline saw it.
+
+    The value is the ``Oleander-Reason`` code.
+    """
+
+    MALFORMED = "malformed-request"
+    FRAMING = "ambiguous-framing"
+    HOST = "missing-host"
+    REQUEST_TARGET = "request-target"
+    UPGRADE = "upgrade-not-supported"
+    VERSION = "http-version"
+    HEADER_SIZE = "header-size"
+    HEADER_TIMEOUT = "header-timeout"
+    CONNECTIONS = "too-many-connections"
+
+
+class RequestRefused(OleanderError):
+    """Stops the parser; the caller gets ``status`` and the connection closes.
+
+    Parameters
+    ----------
+    status : int
+    reason : RefusalReason
+    """
+
+    def __init__(self, status, reason):
+        super().__init__(reason.value)
+        self.status = status
+        self.reason = reason
+
+
+class PipelinedRequest(OleanderError):
+    """A caller sent a request before the answer to the one before."""
+
+
+def checked_path(raw_path):
+    """Return the decoded path of an origin-form request target.
+
+    Dot segments are refused, because a target would resolve them to another path
+    than the route was matched on.
+
+    Raises
+    ------
+    RequestRefused
+    """
+    if not raw_path.startswith(b"/"):
+        raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
+    path = raw_path.decode("latin-1")
+    if "%" in path:
+        path = unquote(path)
+    if "/." in path:
+        segments = path.split("/")
+        if "." in segments or ".." in segments:
+            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
+    return path
+
+
+def encode_refusal(status, reason):
+    """Return the whole answer to a refused request."""
+    return b"%bcontent-length: 0\r\nconnection: close\r\n%b%b\r\n\r\n" % (
+        STATUS_LINE[status],
+        b"oleander-outcome: not-run\r\noleander-reason: ",
+        reason.value.encode("ascii"),
+    )
--- a/oleanderroute/entry/caller_cycle.py
+++ b/oleanderroute/entry/caller_cycle.py
@@ -125,6 +125,7 @@
         if self.waiting_for_100_continue and not self.transport.is_closing():
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             self.waiting_for_100_continue = False
+            self.protocol.restart_body_gap()
         if not self.body and (self.more_body or self.ended):
             await self.wait_for_message()
         if self.disconnected or self.response_complete:
@@ -132,17 +133,23 @@
         body = bytes(self.body)
         self.body = b""
         self.ended = not self.more_body
-        self.flow.resume_reading()
+        self.resume_reading()
         return {"type": "http.request", "body": body, "more_body": self.more_body}
 
     async def wait_for_message(self):
         """Wait for bytes, the end of the request or of the connection."""
         if self.disconnected or self.response_complete:
             return
-        self.flow.resume_reading()
+        self.resume_reading()
         self.message_event = asyncio.Event()
         await self.message_event.wait()
 
+    def resume_reading(self):
+        """Read from the caller again if the body was paused."""
+        if self.flow.read_paused:
+            self.flow.resume_reading()
+            self.protocol.restart_body_gap()
+
     async def send(self, message):
         """Take an ASGI message; waits while the caller is slower than the target."""
         if self.response_complete:
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -3,20 +3,26 @@
 import socket
 import struct
 from dataclasses import dataclass
-from enum import Enum
 from math import inf
-from urllib.parse import unquote
 
 import httptools
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
-
-from ..errors import OleanderError
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from .caller_checks import (
+    PipelinedRequest,
+    RefusalReason,
+    RequestRefused,
+    checked_path,
+    encode_refusal,
+)
 from .caller_cycle import CallerCycle
 
 # After an early refusal, incoming bytes are discarded for this long. Closing with
 # unread bytes makes the kernel send a reset, which can destroy the answer.
 LINGER_S = 2.0
+# Callers over the connection limit that are told so; any more are reset at once.
+EXCESS_CONNECTIONS = 256
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 WATCHED = frozenset({b"host", b"content-length", b"transfer-encoding", b"expect"})
 
@@ -49,71 +55,11 @@
     idle_s: float = 75.0
 
 
-class RefusalReason(Enum):
-    """Why a request was refused before the pipeline saw it.
-
-    The value is the ``Oleander-Reason`` code.
-    """
-
-    MALFORMED = "malformed-request"
-    FRAMING = "ambiguous-framing"
-    HOST = "missing-host"
-    REQUEST_TARGET = "request-target"
-    UPGRADE = "upgrade-not-supported"
-    VERSION = "http-version"
-    HEADER_SIZE = "header-size"
-    HEADER_TIMEOUT = "header-timeout"
-    CONNECTIONS = "too-many-connections"
-
-
-class RequestRefused(OleanderError):
-    """Stops the parser; the caller gets ``status`` and the connection closes.
-
-    Parameters
-    ----------
-    status : int
-    reason : RefusalReason
-    """
-
-    def __init__(self, status, reason):
-        super().__init__(reason.value)
-        self.status = status
-        self.reason = reason
-
-
-class PipelinedRequest(OleanderError):
-    """A caller sent a request before the answer to the one before."""
-
-
-def checked_path(raw_path):
-    """Return the decoded path of an origin-form request target.
-
-    Dot segments are refused, because a target would resolve them to another path
-    than the route was matched on.
-
-    Raises
-    ------
-    RequestRefused
-    """
-    if not raw_path.startswith(b"/"):
-        raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
-    path = raw_path.decode("latin-1")
-    if "%" in path:
-        path = unquote(path)
-    if "/." in path:
-        segments = path.split("/")
-        if "." in segments or ".." in segments:
-            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
-    return path
-
-
 class CallerProtocol(HttpToolsProtocol):
     """uvicorn's HTTP protocol with bounds on what a caller can do.
 
     Parameters
     ----------
-    config, server_state, app_state, _loop
-        As uvicorn passes them.
     limits : CallerLimits
     clock : Clock
     sweep : DeadlineSweep
@@ -145,6 +91,7 @@
         self.in_headers = False
         self.discarding = False
         self.lingering = False
+        self.write_overdue = False
         self.raw_bytes = 0
         self.message_complete = True
         self.header_timed = False
@@ -161,7 +108,10 @@
         super().connection_made(transport)
         self.deadline = self.clock.now() + self.limits.idle_s
         self.sweep.add(self)
-        if len(self.connections) > self.limits.connections:
+        excess = len(self.connections) - self.limits.connections
+        if excess > EXCESS_CONNECTIONS:
+            self.abort()
+        elif excess > 0:
             self.refuse(503, RefusalReason.CONNECTIONS)
 
     def connection_lost(self, error):
@@ -201,8 +151,7 @@
                 self.header_timed = True
                 self.deadline = self.clock.now() + limits.header_s
             return
-        if not self.flow.write_paused:
-            self.deadline = self.clock.now() + limits.body_gap_s
+        self.restart_body_gap()
         if self.body_progress:
             self.overhead_bytes = 0
             return
@@ -210,6 +159,12 @@
         if self.overhead_bytes > limits.header_bytes:
             self.abort()
 
+    def restart_body_gap(self):
+        """Give the caller the full time again to send a part of its body."""
+        if self.message_complete or self.flow.write_paused:
+            return
+        self.deadline = self.clock.now() + self.limits.body_gap_s
+
     def ignore_upgrade(self, has_more):
         """Go on after a bodyless request that offers an upgrade, as HTTP allows."""
         if has_more:
@@ -360,8 +315,7 @@
         self.message_complete = True
         if not self.flow.write_paused:
             self.deadline = inf
-        if cycle.message_event is not None:
-            cycle.message_event.set()
+        cycle.message_event.set()
 
     # Ends
 
@@ -377,44 +331,48 @@
     def deadline_passed(self, now):
         """End a connection whose caller takes too long; called by the sweep."""
         cycle = self.cycle
-        in_progress = cycle is not None and not cycle.response_complete
-        if self.flow.write_paused and in_progress:
+        if cycle is not None and not cycle.response_complete:
+            self.request_stalled(now)
+        elif self.in_headers and not self.lingering:
+            self.refuse(408, RefusalReason.HEADER_TIMEOUT)
+        elif not self.transport.get_write_buffer_size():
+            self.transport.close()
+        elif not self.write_overdue:
+            # The end of an answer is still on its way to a slow caller.
+            self.write_overdue = True
+            self.deadline = now + self.limits.write_gap_s
+        else:
             self.abort()
-            return
-        if in_progress and (self.flow.read_paused or cycle.waiting_for_100_continue):
+
+    def request_stalled(self, now):
+        """Reset the caller unless it is this side that does not read."""
+        waits_for_us = self.flow.read_paused or self.cycle.waiting_for_100_continue
+        if waits_for_us and not self.flow.write_paused:
             self.deadline = now + self.limits.body_gap_s
             return
-        if in_progress:
-            self.abort()
-            return
-        if self.in_headers and not self.lingering:
-            self.refuse(408, RefusalReason.HEADER_TIMEOUT)
-            return
-        self.transport.close()
+        self.abort()
 
     def pause_writing(self):
         """Bound the time in which a caller takes nothing of its answer."""
         super().pause_writing()
+        self.write_overdue = False
         self.deadline = self.clock.now() + self.limits.write_gap_s
 
     def resume_writing(self):
         """Lift the bound of a slow caller."""
         super().resume_writing()
-        self.deadline = inf
+        self.write_overdue = False
+        if self.lingering:
+            self.deadline = self.clock.now() + LINGER_S
+        elif self.cycle is None or self.cycle.response_complete:
+            self.deadline = self.clock.now() + self.limits.idle_s
+        else:
+            self.deadline = inf
+            self.restart_body_gap()
 
     def refuse(self, status, reason):
         """Answer a request that never reached the pipeline, then close."""
-        self.transport.write(
-            b"".join(
-                (
-                    STATUS_LINE[status],
-                    b"content-length: 0\r\nconnection: close\r\n",
-                    b"oleander-outcome: not-run\r\noleander-reason: ",
-                    reason.value.encode("ascii"),
-                    b"\r\n\r\n",
-                )
-            )
-        )
+        self.transport.write(encode_refusal(status, reason))
         self.linger()
 
     def linger(self):
@@ -422,7 +380,8 @@
         self.discarding = True
         self.lingering = True
         self.flow.resume_reading()
-        self.deadline = self.clock.now() + LINGER_S
+        limit_s = self.limits.write_gap_s if self.flow.write_paused else LINGER_S
+        self.deadline = self.clock.now() + limit_s
         if self.transport.can_write_eof():
             self.transport.write_eof()
 
--- a/oleanderroute/entry/server.py
+++ b/oleanderroute/entry/server.py
@@ -10,10 +10,13 @@
 from ..clock import SystemClock
 from .caller_protocol import CallerLimits, CallerProtocol
 from .deadlines import DeadlineSweep
+from .target_pool import set_keepalive
 
 BACKLOG = 1024
 SWEEP_INTERVAL_S = 0.25
 POLL_INTERVAL_S = 0.02
+# Time for cut requests to give up what they hold.
+CANCEL_S = 1.0
 # A caller may have sent a request that has not arrived yet when an idle connection
 # is closed. Idle connections are therefore kept this long after the listener closed.
 IDLE_GRACE_S = 0.5
@@ -138,6 +141,8 @@
             events.CALLERS_CUT.log(requests=cut, limit_s=limit_s)
         for connection in list(self.connections):
             connection.abort()
+        if self.tasks:
+            await asyncio.wait(set(self.tasks), timeout=CANCEL_S)
         self.sweep.close()
         return cut
 
@@ -154,6 +159,9 @@
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit this. Without it, a caller that vanishes without a
+    # packet would hold its request until the target answers.
+    set_keepalive(sock)
     try:
         sock.bind((address, port))
     except OSError:
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -42,11 +42,16 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_keepalive(sock)
+    return sock
+
+
+def set_keepalive(sock):
+    """Let the kernel probe an idle connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    return sock
 
 
 class TargetConnections:
