--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -1,23 +1,28 @@
 """Accepts callers' connections: limits, strict framing and disconnects."""
 
-import asyncio
 import socket
 import struct
 from dataclasses import dataclass
-from enum import Enum
 from math import inf
-from urllib.parse import unquote
 
 import httptools
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
-
-from ..errors import OleanderError
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from .caller_checks import (
+    PipelinedRequest,
+    RefusalReason,
+    RequestRefused,
+    checked_path,
+    encode_refusal,
+)
 from .caller_cycle import CallerCycle
 
 # After an early refusal, incoming bytes are discarded for this long. Closing with
 # unread bytes makes the kernel send a reset, which can destroy the answer.
 LINGER_S = 2.0
+# Callers over the connection limit that are told so; any more are reset at once.
+EXCESS_CONNECTIONS = 256
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 WATCHED = frozenset({b"host", b"content-length", b"transfer-encoding", b"expect"})
 
@@ -50,49 +55,11 @@
     idle_s: float = 75.0
 
 
-class RefusalReason(Enum):
-    """Why a request was refused before the pipeline saw it.
-
-    The value is the ``Oleander-Reason`` code.
-    """
-
-    MALFORMED = "malformed-request"
-    FRAMING = "ambiguous-framing"
-    HOST = "missing-host"
-    REQUEST_TARGET = "request-target"
-    UPGRADE = "upgrade-not-supported"
-    VERSION = "http-version"
-    HEADER_SIZE = "header-size"
-    HEADER_TIMEOUT = "header-timeout"
-    CONNECTIONS = "too-many-connections"
-
-
-class RequestRefused(OleanderError):
-    """Stops the parser; the caller gets ``status`` and the connection closes.
-
-    Parameters
-    ----------
-    status : int
-    reason : RefusalReason
-    """
-
-    def __init__(self, status, reason):
-        super().__init__(reason.value)
-        self.status = status
-        self.reason = reason
-
-
-class PipelinedRequest(OleanderError):
-    """A caller sent a request before the answer to the one before."""
-
-
 class CallerProtocol(HttpToolsProtocol):
     """uvicorn's HTTP protocol with bounds on what a caller can do.
 
     Parameters
     ----------
-    config, server_state, app_state, _loop
-        As uvicorn passes them.
     limits : CallerLimits
     clock : Clock
     sweep : DeadlineSweep
@@ -124,8 +91,10 @@
         self.in_headers = False
         self.discarding = False
         self.lingering = False
+        self.write_overdue = False
         self.raw_bytes = 0
-        self.header_size = 0
+        self.message_complete = True
+        self.header_timed = False
         self.overhead_bytes = 0
         self.body_progress = False
         self.host_count = 0
@@ -139,7 +108,10 @@
         super().connection_made(transport)
         self.deadline = self.clock.now() + self.limits.idle_s
         self.sweep.add(self)
-        if len(self.connections) > self.limits.connections:
+        excess = len(self.connections) - self.limits.connections
+        if excess > EXCESS_CONNECTIONS:
+            self.abort()
+        elif excess > 0:
             self.refuse(503, RefusalReason.CONNECTIONS)
 
     def connection_lost(self, error):
@@ -162,22 +134,37 @@
         except httptools.HttpParserError as error:
             self.parser_stopped(error.__context__)
         else:
-            self.check_progress(len(data))
+            # A request that arrives in one piece needs no time limit.
+            if not self.message_complete:
+                self.check_progress(len(data))
 
     def check_progress(self, received):
-        """Bound bytes that neither complete the headers nor belong to a body."""
+        """Bound the time of a request that is not complete, and its overhead.
+
+        Overhead is what neither completes the headers nor belongs to the body.
+        """
+        limits = self.limits
         if self.in_headers:
-            if self.raw_bytes > self.limits.header_bytes:
+            if self.raw_bytes > limits.header_bytes:
                 self.refuse(431, RefusalReason.HEADER_SIZE)
+            elif not self.header_timed:
+                self.header_timed = True
+                self.deadline = self.clock.now() + limits.header_s
             return
-        cycle = self.cycle
-        if cycle is None or not cycle.more_body or self.body_progress:
+        self.restart_body_gap()
+        if self.body_progress:
             self.overhead_bytes = 0
             return
         self.overhead_bytes += received
-        if self.overhead_bytes > self.limits.header_bytes:
+        if self.overhead_bytes > limits.header_bytes:
             self.abort()
 
+    def restart_body_gap(self):
+        """Give the caller the full time again to send a part of its body."""
+        if self.message_complete or self.flow.write_paused:
+            return
+        self.deadline = self.clock.now() + self.limits.body_gap_s
+
     def ignore_upgrade(self, has_more):
         """Go on after a bodyless request that offers an upgrade, as HTTP allows."""
         if has_more:
@@ -220,13 +207,16 @@
             cycle.keep_alive = False
             self.discarding = True
             raise PipelinedRequest("request before the answer to the last")
-        super().on_message_begin()
+        self.url = b""
+        self.headers = []
+        self.expect_100_continue = False
+        self.message_complete = False
         self.in_headers = True
-        self.header_size = 0
+        self.header_timed = False
         self.host_count = 0
         self.content_length = None
         self.transfer_encoding = None
-        self.deadline = self.clock.now() + self.limits.header_s
+        self.deadline = inf
 
     def on_header(self, name, value):
         """Keep a header; trailers after the body are dropped."""
@@ -234,7 +224,6 @@
             return
         name = name.lower()
         value = value.rstrip(b" \t")
-        self.header_size += len(name) + len(value)
         if name in WATCHED:
             self.watch(name, value)
         self.headers.append((name, value))
@@ -253,73 +242,60 @@
     def on_headers_complete(self):
         """Check the request and start the application."""
         self.in_headers = False
-        self.check_head()
-        scope = self.scope
-        scope["method"] = self.parser.get_method().decode("ascii")
-        self.set_target(scope)
-        self.cycle = CallerCycle(
-            scope=scope,
-            transport=self.transport,
-            flow=self.flow,
-            logger=self.logger,
-            access_logger=self.access_logger,
-            access_log=False,
-            default_headers=self.server_state.default_headers,
-            message_event=asyncio.Event(),
-            expect_100_continue=self.expect_100_continue,
-            keep_alive=self.parser.should_keep_alive() and not self.gate.draining,
-            on_response=self.on_response_complete,
-        )
-        self.cycle.protocol = self
-        self.deadline = self.clock.now() + self.limits.body_gap_s
-        self._start_asgi_task(self.cycle, self.app)
+        method = self.parser.get_method()
+        self.check_head(method)
+        raw_path, _, query = self.url.partition(b"?")
+        # Only what the application reads; see the ASGI specification for the rest.
+        scope = {
+            "type": "http",
+            "http_version": "1.1",
+            "method": method.decode("ascii"),
+            "scheme": "http",
+            "path": checked_path(raw_path),
+            "raw_path": raw_path,
+            "query_string": query,
+            "headers": self.headers,
+            "client": self.client,
+            "server": self.server,
+        }
+        keep_alive = self.parser.should_keep_alive() and not self.gate.draining
+        cycle = CallerCycle(self, scope, keep_alive, self.expect_100_continue)
+        self.cycle = cycle
+        task = self.loop.create_task(cycle.run_asgi(self.app))
+        self.task = task
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    def check_head(self):
+    def check_head(self, method):
         """Raise ``RequestRefused`` unless the request's framing is unambiguous."""
-        size = self.header_size + len(self.url)
-        if size > self.limits.header_bytes or len(self.headers) > self.limits.headers:
+        limits = self.limits
+        # The exact size is only needed when the packets so far could exceed it.
+        if len(self.headers) > limits.headers or (
+            self.raw_bytes > limits.header_bytes
+            and self.header_size() > limits.header_bytes
+        ):
             raise RequestRefused(431, RefusalReason.HEADER_SIZE)
         if self.parser.get_http_version() != "1.1":
             raise RequestRefused(505, RefusalReason.VERSION)
+        has_body = self.content_length is not None or self.transfer_encoding is not None
         # The parser skips the body of such a request, so only one without is safe.
-        if self.parser.should_upgrade() and (
-            self.parser.get_method() == b"CONNECT"
-            or self.content_length is not None
-            or self.transfer_encoding is not None
-        ):
+        if self.parser.should_upgrade() and (has_body or method == b"CONNECT"):
             raise RequestRefused(400, RefusalReason.UPGRADE)
         if self.host_count != 1:
             raise RequestRefused(400, RefusalReason.HOST)
+        if b"#" in self.url:
+            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
         if self.transfer_encoding is None:
             return
         if self.transfer_encoding != b"chunked" or self.content_length is not None:
             raise RequestRefused(400, RefusalReason.FRAMING)
 
-    def set_target(self, scope):
-        """Put path and query into ``scope``.
-
-        Only origin-form is accepted. Dot segments are refused, because a target
-        would resolve them to another path than the route was matched on.
-        """
-        raw_path, _, query = self.url.partition(b"?")
-        if not raw_path.startswith(b"/") or b"#" in self.url:
-            raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
-        path = raw_path.decode("latin-1")
-        if "%" in path:
-            path = unquote(path)
-        if "/." in path:
-            segments = path.split("/")
-            if "." in segments or ".." in segments:
-                raise RequestRefused(400, RefusalReason.REQUEST_TARGET)
-        scope["path"] = path
-        scope["raw_path"] = raw_path
-        scope["query_string"] = query
-
-    def _start_asgi_task(self, cycle, app):
-        task = self.loop.create_task(cycle.run_asgi(app))
-        task.add_done_callback(self.tasks.discard)
-        self.tasks.add(task)
-        self.task = task
+    def header_size(self):
+        """Return the bytes of the request target and the headers."""
+        size = len(self.url)
+        for name, value in self.headers:
+            size += len(name) + len(value)
+        return size
 
     def on_body(self, body):
         """Keep bytes for the application; pauses the caller when it is slower."""
@@ -327,20 +303,19 @@
         self.body_progress = True
         if cycle.response_complete:
             return
-        cycle.body += body
+        cycle.add_body(body)
         if len(cycle.body) > HIGH_WATER_LIMIT:
             self.flow.pause_reading()
-        self.deadline = self.clock.now() + self.limits.body_gap_s
-        cycle.message_event.set()
 
     def on_message_complete(self):
         """Note the end of the request."""
         cycle = self.cycle
         cycle.more_body = False
         self.raw_bytes = 0
-        self.deadline = inf
-        if not cycle.response_complete:
-            cycle.message_event.set()
+        self.message_complete = True
+        if not self.flow.write_paused:
+            self.deadline = inf
+        cycle.message_event.set()
 
     # Ends
 
@@ -356,44 +331,48 @@
     def deadline_passed(self, now):
         """End a connection whose caller takes too long; called by the sweep."""
         cycle = self.cycle
-        in_progress = cycle is not None and not cycle.response_complete
-        if self.flow.write_paused and in_progress:
+        if cycle is not None and not cycle.response_complete:
+            self.request_stalled(now)
+        elif self.in_headers and not self.lingering:
+            self.refuse(408, RefusalReason.HEADER_TIMEOUT)
+        elif not self.transport.get_write_buffer_size():
+            self.transport.close()
+        elif not self.write_overdue:
+            # The end of an answer is still on its way to a slow caller.
+            self.write_overdue = True
+            self.deadline = now + self.limits.write_gap_s
+        else:
             self.abort()
-            return
-        if in_progress and (self.flow.read_paused or cycle.waiting_for_100_continue):
+
+    def request_stalled(self, now):
+        """Reset the caller unless it is this side that does not read."""
+        waits_for_us = self.flow.read_paused or self.cycle.waiting_for_100_continue
+        if waits_for_us and not self.flow.write_paused:
             self.deadline = now + self.limits.body_gap_s
             return
-        if in_progress:
-            self.abort()
-            return
-        if self.in_headers and not self.lingering:
-            self.refuse(408, RefusalReason.HEADER_TIMEOUT)
-            return
-        self.transport.close()
+        self.abort()
 
     def pause_writing(self):
         """Bound the time in which a caller takes nothing of its answer."""
         super().pause_writing()
+        self.write_overdue = False
         self.deadline = self.clock.now() + self.limits.write_gap_s
 
     def resume_writing(self):
         """Lift the bound of a slow caller."""
         super().resume_writing()
-        self.deadline = inf
+        self.write_overdue = False
+        if self.lingering:
+            self.deadline = self.clock.now() + LINGER_S
+        elif self.cycle is None or self.cycle.response_complete:
+            self.deadline = self.clock.now() + self.limits.idle_s
+        else:
+            self.deadline = inf
+            self.restart_body_gap()
 
     def refuse(self, status, reason):
         """Answer a request that never reached the pipeline, then close."""
-        self.transport.write(
-            b"".join(
-                (
-                    STATUS_LINE[status],
-                    b"content-length: 0\r\nconnection: close\r\n",
-                    b"oleander-outcome: not-run\r\noleander-reason: ",
-                    reason.value.encode("ascii"),
-                    b"\r\n\r\n",
-                )
-            )
-        )
+        self.transport.write(encode_refusal(status, reason))
         self.linger()
 
     def linger(self):
@@ -401,7 +380,8 @@
         self.discarding = True
         self.lingering = True
         self.flow.resume_reading()
-        self.deadline = self.clock.now() + LINGER_S
+        limit_s = self.limits.write_gap_s if self.flow.write_paused else LINGER_S
+        self.deadline = self.clock.now() + limit_s
         if self.transport.can_write_eof():
             self.transport.write_eof()
 
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -13,7 +13,9 @@
 # Below the 60 s after which common servers close idle connections themselves.
 IDLE_CLOSE_S = 50.0
 IDLE_CHECK_INTERVAL_S = 5.0
-SWEEP_INTERVAL_S = 0.02
+# Error of the time limits. Each round wakes the process up, which costs more than
+# the round itself on a busy host.
+SWEEP_INTERVAL_S = 0.05
 # A peer that vanished is noticed after 10 + 3 x 3 s without traffic.
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 3
@@ -40,11 +42,16 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_keepalive(sock)
+    return sock
+
+
+def set_keepalive(sock):
+    """Let the kernel probe an idle connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    return sock
 
 
 class TargetConnections:
