--- /dev/null
+++ b/features/support/naive_detection.py
@@ -0,0 +1,112 @@
+"""Naive versions of the sliding windows and of the floor.
+
+They keep the whole history and work each answer out anew.
+"""
+
+import math
+
+from oleanderroute.decisions.condition import RAMP_START, WEIGHT_STEP
+from oleanderroute.decisions.verdict import TargetState
+from oleanderroute.decisions.windows import (
+    HARD_KINDS,
+    RUN_MEMORY_S,
+    SLICE_S,
+    class_bound_s,
+    latency_class,
+)
+from oleanderroute.outcome import AttemptKind
+
+
+class NaiveWindows:
+    """Every outcome ever seen, as (time, kind, latency, weight)."""
+
+    def __init__(self):
+        self.history = []
+
+    def inside(self, length_s, now):
+        newest = math.floor(now / SLICE_S)
+        oldest = newest - round(length_s / SLICE_S) + 1
+        return [row for row in self.history if math.floor(row[0] / SLICE_S) >= oldest]
+
+    def count(self, length_s, kind, now):
+        return sum(row[3] for row in self.inside(length_s, now) if row[1] is kind)
+
+    def successes(self, length_s, now):
+        return [row for row in self.inside(length_s, now) if row[1] is AttemptKind.OK]
+
+    def quantile_s(self, length_s, share, now):
+        latencies = []
+        for _, _, latency_s, weight in self.successes(length_s, now):
+            latencies.extend([latency_class(latency_s)] * weight)
+        if not latencies:
+            return None
+        latencies.sort()
+        rank = max(0, math.ceil(share * len(latencies)) - 1)
+        return class_bound_s(latencies[rank])
+
+    def share_above(self, length_s, limit_s, now):
+        rows = self.successes(length_s, now)
+        total = sum(row[3] for row in rows)
+        if total == 0:
+            return 0.0
+        limit = latency_class(limit_s)
+        return sum(row[3] for row in rows if latency_class(row[2]) > limit) / total
+
+    def run(self, kinds, now):
+        """Sum the newest failures of ``kinds`` that no other outcome follows.
+
+        Outcomes of the same moment have no order among them; one that ends the
+        run ends it for all of that moment.
+        """
+        ends = [row[0] for row in self.history if row[1] not in kinds]
+        ended_at = max(ends, default=-math.inf)
+        run = 0
+        last = None
+        for time, kind, _, weight in self.history:
+            if last is not None and time - last > RUN_MEMORY_S:
+                run = 0
+            if kind is not AttemptKind.OK and time > self._success_at(time):
+                last = time
+            if kind in kinds and time > ended_at:
+                run += weight
+        if last is None or now - last > RUN_MEMORY_S:
+            return 0
+        return run
+
+    def _success_at(self, limit):
+        times = [
+            row[0]
+            for row in self.history
+            if row[1] is AttemptKind.OK and row[0] <= limit
+        ]
+        return max(times, default=-math.inf)
+
+    def hard_run(self, now):
+        return self.run(HARD_KINDS, now)
+
+
+class NaiveFloor:
+    """Counts serving slots by a replay of every change of state since the start."""
+
+    def __init__(self, target_ids, slots, ramp_s):
+        self.slots = slots
+        self.ramp_s = ramp_s
+        self.history = [(0.0, key, TargetState.HEALTHY) for key in target_ids]
+        self.restrained = set()
+
+    def serving_slots(self, now):
+        states = {}
+        for time, target_id, state in self.history:
+            states[target_id] = (time, state)
+        total = 0
+        for target_id, (since, state) in states.items():
+            if target_id in self.restrained:
+                continue
+            if state in (TargetState.HEALTHY, TargetState.SUSPECT):
+                total += self.slots
+            if state is TargetState.RAMPING:
+                progress = min(1.0, (now - since) / self.ramp_s)
+                share = RAMP_START + (1 - RAMP_START) * progress
+                share = round(share / WEIGHT_STEP) * WEIGHT_STEP
+                total += math.floor(self.slots * share)
+        return total
--- a/oleanderroute/decisions/comparison.py
+++ b/oleanderroute/decisions/comparison.py
@@ -14,12 +14,15 @@
 
 SAMPLE_MINIMUM = 5
 # Weaker findings change nothing, so they are not worked out.
-EVIDENCE_MINIMUM = 2.0
+EVIDENCE_MINIMUM = 3.0
 # With fewer peers than this a median says little; absolute limits apply.
 PEER_MINIMUM = 3
 # Failures that any service may show; keeps a spotless service from ejecting on one.
 FAILURE_REFERENCE_MINIMUM = 0.01
 SLOW_REFERENCE_MINIMUM = 0.02
+# Keeps the divergence finite when all peers fail.
+REFERENCE_MAXIMUM = 0.99
+ORDERED_FAILURES = sorted(FAILURE_KINDS)
 # Factor that makes a median absolute deviation comparable to a standard deviation.
 DEVIATION_SCALE = 1.4826
 # Peers with the highest shares are left out of the pooled reference, because some
@@ -114,7 +117,7 @@
     center = median(values)
     spread = median_deviation(values, center)
     expected = max(center + spread, pooled_share(shares), minimum)
-    return min(expected, 0.99)
+    return min(expected, REFERENCE_MAXIMUM)
 
 
 class ClassComparison:
@@ -139,6 +142,8 @@
         self.peers = peers
         self.quantiles = quantiles
         self.objective_s = objective_s
+        self.share_tables = {}
+        self.least_references = {}
         self.peer_quantiles = []
         self.slow_minimums = []
         for position in range(len(quantiles)):
@@ -169,10 +174,10 @@
 
     def _failure_findings(self, target_id, position, window, minimum):
         by_kind = window.total.by_kind
-        seen = [kind for kind in FAILURE_KINDS if by_kind[kind]]
+        seen = [kind for kind in ORDERED_FAILURES if by_kind[kind]]
         if not seen:
             return
-        samples = _judged(by_kind)
+        samples = judged_attempts(by_kind)
         if samples < minimum:
             return
         groups = [(kind,) for kind in seen]
@@ -181,7 +186,7 @@
         for kinds in groups:
             signal = KIND_SIGNALS[kinds[0]] if len(kinds) == 1 else Signal.MIXED
             share = Share(sum(by_kind[kind] for kind in kinds), samples)
-            if is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
+            if is_too_weak(share, self._least_reference(position, kinds)):
                 continue
             reference = self._failure_reference(target_id, position, kinds)
             if reference is None:
@@ -210,28 +215,53 @@
     def _absolute_reference(self, target_id, position, kinds, minimum):
         peers = self._peer_shares(target_id, position, kinds)
         highest = max((peer.value for peer in peers), default=0.0)
-        return min(max(highest, minimum), 0.99)
+        return min(max(highest, minimum), REFERENCE_MAXIMUM)
 
     def _peer_shares(self, target_id, position, kinds):
-        shares = []
+        table = self._share_table(position, kinds)
+        return [share for peer_id, share in table.items() if peer_id != target_id]
+
+    def _share_table(self, position, kinds):
+        """Return the shares of all peers that have enough samples."""
+        table = self.share_tables.get((position, kinds))
+        if table is not None:
+            return table
+        table = self.share_tables[position, kinds] = {}
         for peer_id in self.peers:
-            if peer_id == target_id or peer_id not in self.windows:
+            own = self.windows.get(peer_id)
+            if own is None:
                 continue
-            by_kind = self.windows[peer_id].windows[position].total.by_kind
-            samples = _judged(by_kind)
+            by_kind = own.windows[position].total.by_kind
+            samples = judged_attempts(by_kind)
             if samples < SAMPLE_MINIMUM:
                 continue
-            shares.append(Share(sum(by_kind[kind] for kind in kinds), samples))
-        return shares
+            hits = sum(by_kind[kind] for kind in kinds)
+            table[peer_id] = Share(hits, samples)
+        return table
+
+    def _least_reference(self, position, kinds):
+        """Return a share that no target's reference lies below."""
+        least = self.least_references.get((position, kinds))
+        if least is not None:
+            return least
+        least = FAILURE_REFERENCE_MINIMUM
+        for each in {position, LONGEST_WINDOW}:
+            table = self._share_table(each, kinds)
+            if len(table) <= PEER_MINIMUM:
+                continue
+            values = sorted(share.value for share in table.values())
+            least = max(least, values[least_median_rank(len(values))])
+        least = self.least_references[position, kinds] = min(least, REFERENCE_MAXIMUM)
+        return least
 
     def _run_finding(self, target_id, own):
-        kinds = tuple(own.run_kinds)
+        kinds = tuple(sorted(own.run_kinds))
         # A run of hard failures counts below the sample minimum.
         run = own.hard_run
         if own.failure_run >= SAMPLE_MINIMUM:
             run = own.failure_run
         share = Share(run, run)
-        if run == 0 or is_too_weak(share, FAILURE_REFERENCE_MINIMUM):
+        if run == 0 or is_too_weak(share, self._least_reference(0, kinds)):
             return NO_FINDING
         reference = self._failure_reference(target_id, 0, kinds)
         if reference is None:
@@ -306,15 +336,16 @@
         return shares
 
 
-def slow_minimum_s(quantiles):
-    """Return a latency in seconds that no target's slow limit lies below.
+def least_median_rank(count):
+    """Return the rank that the median without any one value does not lie below."""
+    return (count - 2) // 2
 
-    Without any one of n values, the median is at least the value of rank
-    (n - 2) // 2.
-    """
+
+def slow_minimum_s(quantiles):
+    """Return a latency in seconds that no target's slow limit lies below."""
     if len(quantiles) <= PEER_MINIMUM:
         return 0.0
-    return SLOW_FACTOR * sorted(quantiles.values())[(len(quantiles) - 2) // 2]
+    return SLOW_FACTOR * sorted(quantiles.values())[least_median_rank(len(quantiles))]
 
 
 def stronger(first, second):
@@ -330,7 +361,7 @@
     return strongest < EVIDENCE_MINIMUM
 
 
-def _judged(by_kind):
+def judged_attempts(by_kind):
     """Return the attempts that say something of the target."""
     refused = by_kind[AttemptKind.REFUSED_NOT_STARTED]
     return sum(by_kind) - refused - by_kind[AttemptKind.CANCELLED]
--- a/oleanderroute/decisions/ejection.py
+++ b/oleanderroute/decisions/ejection.py
@@ -25,6 +25,8 @@
 CLEAR_AFTER_S = 2.0
 EJECTION_MIN_S = 5.0
 EJECTION_MAX_S = 300.0
+# The seventh strike reaches the longest ejection; more would only delay forgetting.
+STRIKES_MAX = 7
 # Targets that were ejected together do not return together.
 EJECTION_JITTER = 0.1
 STRIKE_DECAY_S = 300.0
@@ -294,9 +296,8 @@
         return left >= self.floor_slots
 
     def _start_ejection(self, condition, now):
-        condition.strikes += 1
-        length_s = EJECTION_MIN_S * 2 ** min(condition.strikes - 1, 16)
-        length_s = min(length_s, EJECTION_MAX_S)
+        condition.strikes = min(condition.strikes + 1, STRIKES_MAX)
+        length_s = min(EJECTION_MIN_S * 2 ** (condition.strikes - 1), EJECTION_MAX_S)
         length_s *= 1 + self.rng.uniform(0, EJECTION_JITTER)
         condition.ejected_at = now
         condition.ejected_until = now + length_s
