--- a/features/detection.feature
+++ b/features/detection.feature
@@ -103,6 +103,12 @@
     Then the detection target is RAMPING by the signal none
     And the detection target is healthy after its ramp
 
+  Scenario: Deaths by a crash-causing request are excused
+    # Guards against one request that ejects each target it reaches.
+    Given a detection pool of 10 targets with steady traffic
+    When one detection target dies of a crash-causing request
+    Then the detection target is PROBATION by the signal broken
+
   Scenario: Each repeated ejection doubles, and long health forgets
     # Guards against flapping targets that return every few seconds.
     Given a detection pool of 10 targets with steady traffic
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -14,6 +14,7 @@
       | leaving          | 5       | 2     | t0 leaving              | QUICK | idempotent    | t1 to t4     | LEAST_LOADED        |
       | draining         | 5       | 2     | t0 draining             | QUICK | idempotent    | t1 to t4     | LEAST_LOADED        |
       | draining, judged | 5       | 2     | t0 draining and healthy | QUICK | idempotent    | t1 to t4     | LEAST_LOADED        |
+      | drained long ago | 5       | 2     | t0 drained 61 s ago     | QUICK | idempotent    | t0 to t4     | LEAST_LOADED        |
       | ejected          | 5       | 2     | t0 ejected              | QUICK | idempotent    | t1 to t4     | LEAST_LOADED        |
       | probation        | 5       | 2     | t0 on probation         | QUICK | idempotent    | t0 to t4     | PROBATION           |
       | probation, once  | 5       | 2     | t0 on probation         | QUICK | at most once  | t1 to t4     | LEAST_LOADED        |
--- a/features/steps/detection_steps.py
+++ b/features/steps/detection_steps.py
@@ -357,6 +357,15 @@
         driver.step()
 
 
+@when("one detection target dies of a crash-causing request")
+def step_crash(context):
+    driver = context.driver
+    driver.break_target(SICK)
+    driver.pool.excuse(SICK, driver.clock.now())
+    driver.observe(SICK, AttemptKind.CONNECT_FAILED, weight=9)
+    driver.judge()
+
+
 @when("the detection target answers {count:d} real requests")
 def step_answers(context, count):
     for _ in range(count):
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -13,7 +13,7 @@
 from oleanderroute.decisions.choice import ChoiceReason
 from oleanderroute.decisions.dependencies import Dependencies, ServiceState
 from oleanderroute.decisions.service_router import ServiceRouter
-from oleanderroute.decisions.subset import HostPlace, choose_subset
+from oleanderroute.decisions.subset import HostPlace, choose_all_subsets, choose_subset
 from oleanderroute.decisions.verdict import TargetState, Verdict
 from oleanderroute.declaration.model import Objective, Service, Target
 from oleanderroute.outcome import Attempt, AttemptKind, RequestClass
@@ -64,6 +64,12 @@
     driver.router.mark_draining("t0", driver.now())
 
 
+def drain_long_ago(driver):
+    drain(driver)
+    driver.clock.advance(61.0)
+    driver.router.apply_verdicts(1, [], driver.now())
+
+
 def drain_then_judge(driver):
     drain(driver)
     driver.judge("t0", TargetState.HEALTHY, 1.0)
@@ -102,6 +108,7 @@
     "nothing special": lambda driver: None,
     "t0 leaving": set_leaving,
     "t0 draining": drain,
+    "t0 drained 61 s ago": drain_long_ago,
     "t0 draining and healthy": drain_then_judge,
     "t0 ejected": judged(TargetState.EJECTED, 0.0),
     "t0 on probation": judged(TargetState.PROBATION, 0.2),
@@ -235,12 +242,9 @@
         Target(f"t{number}", "127.0.0.1", 1, f"d{number % domains}")
         for number in range(targets)
     ]
-    context.subsets = subsets(context.hosts, context.targets)
-
-
-def subsets(hosts, targets, members=None):
-    members = members or hosts
-    return {h.host_id: choose_subset(h, hosts, targets, LIMIT) for h in members}
+    context.subsets = choose_all_subsets(context.hosts, context.targets, LIMIT)
+    own = choose_subset(context.hosts[7], context.hosts, context.targets, LIMIT)
+    assert own == context.subsets["h7"]
 
 
 @then(
@@ -270,7 +274,7 @@
 @then("one host more changes at most {pairs:d} pairs of the subset")
 def step_host_more(context, pairs):
     hosts = [*context.hosts, HostPlace("new", "d0")]
-    changed = changed_pairs(context, subsets(hosts, context.targets, context.hosts))
+    changed = changed_pairs(context, choose_all_subsets(hosts, context.targets, LIMIT))
     assert len(changed) <= pairs, len(changed)
 
 
@@ -278,7 +282,9 @@
 def step_target_lost(context, spread):
     lost = context.targets[0].target_id
     held = sum(lost in subset.target_ids for subset in context.subsets.values())
-    changed = changed_pairs(context, subsets(context.hosts, context.targets[1:]))
+    changed = changed_pairs(
+        context, choose_all_subsets(context.hosts, context.targets[1:], LIMIT)
+    )
     assert len(changed) <= held * spread, (len(changed), held)
 
 
--- a/oleanderroute/decisions/detection.py
+++ b/oleanderroute/decisions/detection.py
@@ -26,6 +26,9 @@
 # A host that stopped reporting holds no requests in flight any more.
 IN_FLIGHT_MEMORY_S = 15.0
 PROBATION_SAMPLES = 2
+# Time that a target gets to restart after a request that crashes its targets.
+EXCUSE_S = 2.0
+CRASH_KINDS = frozenset({AttemptKind.BROKEN, AttemptKind.CONNECT_FAILED})
 UNJUDGED_STATES = frozenset({TargetState.EJECTED, TargetState.LEAVING})
 
 
@@ -63,6 +66,7 @@
         self.quantiles = {request_class: [] for request_class in RequestClass}
         self.quantiles_at = None
         self.long_reports = {}
+        self.excused_until = {}
         self.transitions = []
         self.set_targets([target.target_id for target in service.targets], frozenset())
 
@@ -80,15 +84,21 @@
         """
         wanted = set(target_ids)
         self.roster.set_targets(wanted, leaving, self.clock.now())
-        for windows in self.windows.values():
-            for target_id in list(windows):
+        for known in (*self.windows.values(), self.long_reports, self.excused_until):
+            for target_id in list(known):
                 if target_id not in wanted:
-                    del windows[target_id]
+                    del known[target_id]
         floor = self.service.floor_slots
         if service_targets:
             floor = -(-floor * len(wanted) // service_targets)
         self.roster.floor_slots = floor
 
+    def set_service(self, service):
+        """Take over a changed declaration; `set_targets` follows the targets."""
+        self.service = service
+        self.roster.service = service
+        self.roster.floor_slots = service.floor_slots
+
     def set_dependency_sick(self, is_sick):
         """Suppress ejections while a declared dependency is sick."""
         self.roster.dependency_sick = is_sick
@@ -103,12 +113,21 @@
             return
         if attempt.target_id not in self.roster.conditions:
             return
+        if attempt.kind in CRASH_KINDS:
+            if now < self.excused_until.get(attempt.target_id, now):
+                return
         windows = self.windows[attempt.request_class]
         own = windows.get(attempt.target_id)
         if own is None:
             own = windows[attempt.target_id] = OutcomeWindows()
         own.observe(attempt.kind, attempt.latency_s, attempt.weight, now)
 
+    def excuse(self, target_id, now):
+        """Forget the death of a target that a crash-causing request killed."""
+        self.excused_until[target_id] = now + EXCUSE_S
+        self._forget_outcomes(target_id)
+        self.roster.excuse(target_id, now)
+
     def observe_probe(self, target_id, succeeded, now):
         """Note a probe. A failed one delays probation; a good one clears nothing."""
         condition = self.roster.conditions.get(target_id)
@@ -203,10 +222,13 @@
         is_readmitted = transition.before in OUT_STATES and condition.restrained
         if transition.after is not TargetState.PROBATION and not is_readmitted:
             return
+        self._forget_outcomes(transition.target_id)
+
+    def _forget_outcomes(self, target_id):
         for request_class, windows in self.windows.items():
-            windows.pop(transition.target_id, None)
+            windows.pop(target_id, None)
             for quantiles in self.quantiles[request_class]:
-                quantiles.pop(transition.target_id, None)
+                quantiles.pop(target_id, None)
 
     def _long_running(self, now):
         running = {}
--- a/oleanderroute/decisions/ejection.py
+++ b/oleanderroute/decisions/ejection.py
@@ -98,6 +98,14 @@
         if condition.state is not TargetState.LEAVING:
             self._move(condition, TargetEvent.LEAVE, now)
 
+    def excuse(self, target_id, now):
+        """End the ejection of a target that was not to blame for its death."""
+        condition = self.conditions.get(target_id)
+        if condition is None or condition.state is not TargetState.EJECTED:
+            return
+        condition.strikes = max(0, condition.strikes - 1)
+        condition.ejected_until = now
+
     def update(self, assessments, now):
         """Apply one round of assessments and return the transitions made.
 
--- a/oleanderroute/decisions/service_router.py
+++ b/oleanderroute/decisions/service_router.py
@@ -72,6 +72,7 @@
         self.service = service
         self.host_id = host_id
         self.failure_domain = failure_domain
+        self.clock = clock
         self.rng = rng
         self.pool = DetectionPool(service, clock, rng)
         self.views = {}
@@ -80,6 +81,7 @@
         self.is_local = False
         self.local_evaluated_at = -math.inf
         self.long_limit = 0
+        self.drains_end_at = math.inf
         self.steady = CandidateTable([])
         self.idempotent = CandidateTable([])
         self.set_targets(service.targets, frozenset())
@@ -108,7 +110,14 @@
             views[target.target_id] = view
         self.views = views
         self.pool.set_targets(list(views), leaving, service_targets)
-        self._rebuild()
+        self._rebuild(self.clock.now())
+
+    def set_service(self, service):
+        """Take over a changed declaration; `set_targets` follows the targets."""
+        self.service = service
+        self.pool.set_service(service)
+        for view in self.views.values():
+            view.slots = service.slots_per_target
 
     def choose(self, request_class, excluded, idempotent, now):
         """Choose a target.
@@ -129,6 +138,8 @@
         """
         if now - self.verdicts_at > VERDICT_LIFETIME_S:
             self._judge_locally(now)
+        if now >= self.drains_end_at:
+            self._rebuild(now)
         table = self.idempotent if idempotent else self.steady
         if request_class is RequestClass.LONG:
             return choose_long(
@@ -182,7 +193,7 @@
             # The count includes what this host reported itself.
             view.long_elsewhere = max(0, verdict.long_running - view.long)
         if verdicts:
-            self._rebuild()
+            self._rebuild(now)
 
     def mark_draining(self, target_id, now):
         """Exclude a target that answered that it drains."""
@@ -191,7 +202,7 @@
             return
         view.draining_until = now + DRAIN_MEMORY_S
         self.pool.mark_draining(target_id, now)
-        self._rebuild()
+        self._rebuild(now)
 
     def explain(self, target_id, now):
         """Return a `TargetExplanation`, or None for an unknown target."""
@@ -203,7 +214,7 @@
             view.state,
             view.weight,
             view.reason,
-            self._is_leaving(view),
+            self._is_leaving(view, now),
             view.quick,
             view.long,
             view.long_elsewhere,
@@ -235,17 +246,20 @@
             view = self.views[verdict.target_id]
             self._apply(view, verdict)
             view.long_elsewhere = 0
-        self._rebuild()
+        self._rebuild(now)
 
-    def _is_leaving(self, view):
-        return view.leaving or view.draining_until > self.pool.clock.now()
+    def _is_leaving(self, view, now):
+        return view.leaving or view.draining_until > now
 
-    def _rebuild(self):
+    def _rebuild(self, now):
+        self.drains_end_at = math.inf
         steady = []
         idempotent = []
         ejected = []
         for view in self.views.values():
-            if self._is_leaving(view) or view.state is TargetState.LEAVING:
+            if view.draining_until > now:
+                self.drains_end_at = min(self.drains_end_at, view.draining_until)
+            if self._is_leaving(view, now) or view.state is TargetState.LEAVING:
                 continue
             if view.weight <= 0.0:
                 ejected.append(view)
--- a/oleanderroute/decisions/subset.py
+++ b/oleanderroute/decisions/subset.py
@@ -102,10 +102,22 @@
         connections = connections_per_target // len(hosts)
         return Subset(tuple(target.target_id for target in targets), connections)
     if len(targets) <= EXACT_MAX:
-        return _exact_subset(host, hosts, targets, connections_per_target)
+        return assign_exactly(hosts, targets, connections_per_target)[host.host_id]
     return _ranked_subset(host, hosts, targets, connections_per_target)
 
 
+def choose_all_subsets(hosts, targets, connections_per_target):
+    """Return the `Subset` of each host by its id; see `choose_subset`."""
+    is_small = len(hosts) <= connections_per_target and len(targets) <= SUBSET_MAX
+    if targets and not is_small and len(targets) <= EXACT_MAX:
+        return assign_exactly(hosts, targets, connections_per_target)
+    subsets = {}
+    for host in hosts:
+        subset = choose_subset(host, hosts, targets, connections_per_target)
+        subsets[host.host_id] = subset
+    return subsets
+
+
 def _ranked(seed, targets):
     def score(target):
         return pair_score(seed, seed_of(target.target_id))
@@ -201,27 +213,24 @@
     return chosen
 
 
-def _exact_subset(host, hosts, targets, limit):
-    """Assign the hosts in the order of their hashes, up to the wanted one."""
+def assign_exactly(hosts, targets, limit):
+    """Assign all hosts in the order of their hashes; return each one's `Subset`."""
     size = int(len(targets) * limit * EXACT_FILL / len(hosts))
-    size = min(size, len(targets))
-    if size == 0:
-        nearest = _ranked(seed_of(host.host_id), targets)[0]
-        is_over_limit = len(targets) * limit < len(hosts)
-        if is_over_limit:
-            return Subset((nearest.target_id,), 1, is_over_limit)
-        size = 1
+    size = max(1, min(size, len(targets)))
+    is_over_limit = len(targets) * limit < len(hosts)
     left = {target.target_id: limit for target in targets}
+    if is_over_limit:
+        left = dict.fromkeys(left, len(hosts))
     seeds = {target.target_id: seed_of(target.target_id) for target in targets}
     order = [(seed_of(place.host_id), place) for place in hosts]
     order.sort(key=first_of)
+    subsets = {}
     for seed, place in order:
         chosen = _assign(seed, place.failure_domain, size, targets, seeds, left)
-        if place.host_id == host.host_id:
-            return Subset(tuple(chosen), 1)
+        subsets[place.host_id] = Subset(tuple(chosen), 1, is_over_limit)
         for target_id in chosen:
             left[target_id] -= 1
-    return Subset((), 0)
+    return subsets
 
 
 def _assign(seed, domain, size, targets, seeds, left):
