--- a/features/support/claims_machine.py
+++ b/features/support/claims_machine.py
@@ -177,6 +177,7 @@
         max_examples=examples,
         stateful_step_count=25,
         deadline=None,
+        derandomize=False,
         database=None,
         print_blob=False,
         report_multiple_bugs=False,
