Count good and bad requests per window, who spent the budget, and incidents

Streamed answers are judged at their end. The incident log takes its entries from the log events, so the aggregator keeps no list of its own. Events have a level, which the setting log.level now filters by, and the gauges are set at each scrape. GET /explain shows states and reasons by name instead of by number.

--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -12,6 +12,7 @@
 import orjson
 import uvloop
 from aioprometheus import render
+from eliot import add_destinations, remove_destination
 
 from . import events
 from .clock import SystemClock
@@ -24,9 +25,13 @@
 from .entry.server import CallerServer
 from .entry.target_pool import TargetPool
 from .errors import SettingsError
+from .events import Level
 from .logs import log_file
 from .metrics import Metrics
 from .operator.burn import BurnLedger
+from .operator.gauges import refresh
+from .operator.hostreport import host_report
+from .operator.incidents import IncidentLog
 from .operator.server import OperatorServer, make_application
 from .peer.client import PeerClient
 from .peer.codec import HeaderState, PeerIdentity, make_header
@@ -158,6 +163,7 @@
         """Make the path of requests and the decisions on it."""
         identity = self.identity
         self.burn = BurnLedger(self.clock)
+        self.incidents = IncidentLog()
         self.target_pool = TargetPool(
             identity.host_id, identity.failure_domain, self.clock
         )
@@ -294,6 +300,7 @@
     def on_declaration(self, declaration, revision):
         """Bring a declaration into force."""
         self.serving.on_declaration(declaration, revision)
+        self.burn.follow_services(declaration.services)
 
     def on_hosts(self, host_list):
         """Follow a new host list."""
@@ -335,13 +342,22 @@
             "services": sorted(self.serving.entries),
         }
 
+    def report(self):
+        """Return this host's part of the burn report."""
+        return host_report(
+            self.identity, self.serving, self.burn, self.incidents, self.clock
+        )
+
     def render_metrics(self, accept):
         """Return the metrics page and its headers."""
+        refresh(self.metrics, self.serving, self.burn, self.claim_table)
         return render(self.metrics.registry, accept)
 
     async def run(self):
         """Serve until a stop is requested, then drain."""
         async with AsyncExitStack() as stack:
+            add_destinations(self.incidents)
+            stack.callback(remove_destination, self.incidents)
             stack.push_async_callback(self.store.close)
             stack.callback(self.target_pool.close)
             await self.peer_server.start(
@@ -454,7 +470,7 @@
     except SettingsError as error:
         click.echo(f"oleanderrouted: {error}", err=True)
         sys.exit(EXIT_SETTINGS)
-    with log_file(settings.log.path):
+    with log_file(settings.log.path, Level[settings.log.level.upper()]):
         uvloop.run(serve(settings))
 
 
--- a/oleanderroute/entry/attempt_record.py
+++ b/oleanderroute/entry/attempt_record.py
@@ -89,6 +89,7 @@
         route = self.context.route
         latency_s = now - self.started_at
         attempt = Attempt(self.target_id, route.request_class, kind, latency_s)
+        self.context.ended_attempts.append(attempt)
         entry = self.context.entry
         entry.router.finished(attempt, now)
         entry.budget.record_attempt(kind is AttemptKind.REFUSED_NOT_STARTED, now)
--- a/oleanderroute/entry/context.py
+++ b/oleanderroute/entry/context.py
@@ -4,7 +4,7 @@
 
 from ..declaration.model import Repeatability, Route
 from ..ids import Fingerprint, TargetId, Workspace
-from ..outcome import CallerOutcome
+from ..outcome import Attempt, CallerOutcome
 from .messages import BodyHead, CallerRequest
 from .service_entry import ServiceEntry
 
@@ -32,6 +32,8 @@
         Whether a streamed body was handed to a target; it can't be sent again.
     shed_count : int
         Attempts that targets refused before start.
+    ended_attempts : list of Attempt
+        In the order of their ends, for the burn report.
     """
 
     request: CallerRequest
@@ -48,6 +50,7 @@
     attempts: int = 0
     body_consumed: bool = False
     shed_count: int = 0
+    ended_attempts: list[Attempt] = field(default_factory=list)
 
     @property
     def is_idempotent(self):
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -142,7 +142,12 @@
         request.body.limit(route.max_body_bytes)
         if request.body.length != 0:
             context.head = await read_head(request.body, BUFFERED_BODY_BYTES)
-        answer = await self.run_shielded(context)
+        try:
+            answer = await self.run_shielded(context)
+        except Exception:
+            # The caller's side answers 500; the burn report must see that too.
+            self.account(context, refuse(RefusalReason.INTERNAL, CallerOutcome.UNKNOWN))
+            raise
         self.account(context, answer)
         return answer
 
--- a/oleanderroute/entry/streamed.py
+++ b/oleanderroute/entry/streamed.py
@@ -14,6 +14,11 @@
     hold : AdmissionHold
     kind : AttemptKind
         What the attempt counts as if the body is complete.
+
+    Attributes
+    ----------
+    on_end : callable or None
+        Told once how the body ended, as an ``AttemptKind``.
     """
 
     def __init__(self, answer, record, hold, kind):
@@ -22,6 +27,7 @@
         self.record = record
         self.hold = hold
         self.kind = kind
+        self.on_end = None
 
     def __aiter__(self):
         return self
@@ -50,6 +56,10 @@
         """Account for the attempt and give its place up."""
         self.record.finish(kind)
         self.hold.release()
+        if self.on_end is not None:
+            on_end = self.on_end
+            self.on_end = None
+            on_end(kind)
 
     async def aclose(self):
         """Drop the rest of the body; the target's connection is closed."""
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -1,10 +1,23 @@
 """Numbered log events. ``docs/events.md`` lists them; a test compares the two."""
 
 from dataclasses import dataclass
+from enum import IntEnum
 
 from eliot import log_message
 
 
+class Level(IntEnum):
+    """Importance of an event; the setting ``log.level`` gives the lowest written."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+NO_ACTION = "None."
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One kind of log record.
@@ -17,23 +30,45 @@
         Message type in the log.
     meaning : str
         One sentence for the catalogue.
+    level : Level
+    fields : tuple of str
+        Names of the fields that records of this event may have.
+    action : str
+        What an operator should do.
     """
 
     number: int
     name: str
     meaning: str
+    level: Level = Level.INFO
+    fields: tuple[str, ...] = ()
+    action: str = NO_ACTION
 
     def log(self, **fields):
         """Write one record with ``fields``."""
-        log_message(message_type=self.name, event=self.number, **fields)
+        log_message(
+            message_type=self.name,
+            event=self.number,
+            level=self.level.name.lower(),
+            **fields,
+        )
 
 
 CATALOGUE = {}
 
 
-def define(number, name, meaning):
+def define(number, name, meaning, level=Level.INFO, fields=(), action=NO_ACTION):
     """Add an event to the catalogue.
 
+    Parameters
+    ----------
+    number : int
+    name : str
+    meaning : str
+    level : Level
+    fields : iterable of str
+    action : str
+
     Raises
     ------
     ValueError
@@ -41,76 +76,239 @@
     """
     if number in CATALOGUE:
         raise ValueError(f"event {number} is already {CATALOGUE[number].name}")
-    event = Event(number, f"oleander:{name}", meaning)
+    event = Event(number, f"oleander:{name}", meaning, level, tuple(fields), action)
     CATALOGUE[number] = event
     return event
 
 
 # 100-199: process life cycle
-DAEMON_STARTED = define(100, "daemon_started", "The daemon listens on all ports.")
+DAEMON_STARTED = define(
+    100,
+    "daemon_started",
+    "The daemon listens on all ports.",
+    Level.INFO,
+    (
+        "host",
+        "caller_port",
+    ),
+)
 DAEMON_DRAINING = define(
-    101, "daemon_draining", "A stop was requested; readiness now fails."
+    101,
+    "daemon_draining",
+    "A stop was requested; readiness now fails.",
+    Level.INFO,
+    ("in_flight",),
+)
+DAEMON_STOPPED = define(
+    102,
+    "daemon_stopped",
+    "The daemon ended its last request.",
+    Level.INFO,
+    ("host",),
+)
+TASK_FAILED = define(
+    103,
+    "task_failed",
+    "A task ended with an error; it is restarted.",
+    Level.ERROR,
+    (
+        "task",
+        "error",
+    ),
+    "Report it as a fault of the program, with the record; the task runs "
+    "again by itself.",
 )
-DAEMON_STOPPED = define(102, "daemon_stopped", "The daemon ended its last request.")
-TASK_FAILED = define(103, "task_failed", "A task ended with an error; it is restarted.")
 
 # 200-299: configuration
 REVISION_IN_FORCE = define(
-    200, "revision_in_force", "A new revision of the declaration is in force."
+    200,
+    "revision_in_force",
+    "A new revision of the declaration is in force.",
+    Level.INFO,
+    (
+        "revision",
+        "author",
+    ),
 )
 REVISION_REFUSED = define(
-    201, "revision_refused", "A stored declaration could not be loaded; it is ignored."
+    201,
+    "revision_refused",
+    "A stored declaration could not be loaded; it is ignored.",
+    Level.ERROR,
+    (
+        "revision",
+        "reason",
+    ),
+    "Run 'oleanderctl check' on the text and apply a corrected one; the "
+    "revision before it stays in force.",
 )
 STORE_UNAVAILABLE = define(
-    202, "store_unavailable", "The key-value service did not answer."
+    202,
+    "store_unavailable",
+    "The key-value service did not answer.",
+    Level.WARNING,
+    ("reason",),
+    "Tell the platform's operators if it lasts; requests are served "
+    "meanwhile, but no revision can be applied.",
+)
+STORE_BACK = define(
+    203,
+    "store_back",
+    "The key-value service answers again.",
+    Level.INFO,
+    ("version",),
+)
+HOST_LIST_CHANGED = define(
+    204,
+    "host_list_changed",
+    "A new host list was received.",
+    Level.INFO,
+    (
+        "version",
+        "hosts",
+        "targets",
+    ),
 )
-STORE_BACK = define(203, "store_back", "The key-value service answers again.")
-HOST_LIST_CHANGED = define(204, "host_list_changed", "A new host list was received.")
 HISTORY_NOT_RECORDED = define(
     205,
     "history_not_recorded",
     "A revision was accepted, but its history entry could not be written.",
+    Level.WARNING,
+    (
+        "revision",
+        "reason",
+    ),
+    "Note the change by hand if its record is needed; the revision is in force.",
 )
 OLDER_HEAD_IGNORED = define(
     206,
     "older_head_ignored",
     "The store showed an older revision than the one in force; it is ignored.",
+    Level.ERROR,
+    (
+        "offered",
+        "in_force",
+    ),
+    "Ask the platform's operators whether the store was restored from an "
+    "old copy; then apply the declaration again.",
 )
 HEAD_DIVERGED = define(
     207,
     "head_diverged",
     "The store showed other content under the revision in force; it is ignored.",
+    Level.ERROR,
+    (
+        "revision",
+        "offered_nonce",
+    ),
+    "As for event 206: apply the declaration again, on the newest revision.",
 )
 PEER_FETCH_FAILED = define(
-    208, "peer_fetch_failed", "A newer revision or host list was not got from a peer."
+    208,
+    "peer_fetch_failed",
+    "A newer revision or host list was not got from a peer.",
+    Level.DEBUG,
+    (
+        "peer",
+        "revision",
+        "reason",
+    ),
+    "None, unless 'oleanderctl status' shows hosts that stay on an old revision.",
 )
 HOST_LIST_REFUSED = define(
-    209, "host_list_refused", "A host list was malformed; it is ignored."
+    209,
+    "host_list_refused",
+    "A host list was malformed; it is ignored.",
+    Level.ERROR,
+    ("reason",),
+    "Tell the platform's operators; the last good list stays in use.",
 )
 
 # 300-399: peers
 PEER_MESSAGE_DROPPED = define(
-    300, "peer_message_dropped", "A peer message was malformed or not acceptable."
+    300,
+    "peer_message_dropped",
+    "A peer message was malformed or not acceptable.",
+    Level.WARNING,
+    (
+        "reason",
+        "source",
+    ),
+    "Check which process sends from that source: another fleet, an old "
+    "version, or a stranger.",
+)
+PEER_UNREACHABLE = define(
+    301,
+    "peer_unreachable",
+    "A peer did not answer.",
+    Level.DEBUG,
+    (
+        "host",
+        "kind",
+        "error",
+    ),
+    "None, unless many hosts report the same host or failure domain: look "
+    "for a partition.",
 )
-PEER_UNREACHABLE = define(301, "peer_unreachable", "A peer did not answer.")
 
 # 400-499: callers and targets
 CALLER_REQUEST_FAILED = define(
-    400, "caller_request_failed", "A request ended with an unexpected error."
+    400,
+    "caller_request_failed",
+    "A request ended with an unexpected error.",
+    Level.ERROR,
+    (
+        "path",
+        "error",
+        "reason",
+    ),
+    "Report it as a fault of the program, with the record.",
 )
 CALLERS_CUT = define(
-    401, "callers_cut", "Requests in flight were cut at the time limit of a stop."
+    401,
+    "callers_cut",
+    "Requests in flight were cut at the time limit of a stop.",
+    Level.ERROR,
+    (
+        "requests",
+        "limit_s",
+    ),
+    "Raise drain.limit_s in the settings above the longest request.",
 )
 
 # 500-549: detection
 VERDICT_CHANGED = define(
-    500, "verdict_changed", "The aggregator changed the state of a target."
+    500,
+    "verdict_changed",
+    "The aggregator changed the state of a target.",
+    Level.INFO,
+    (
+        "service",
+        "target",
+        "was",
+        "state",
+        "reason",
+    ),
+    "None at night. By day, look after targets that are ejected again and again.",
 )
 
 # 550-599: limits and claims
 REQUEST_QUARANTINED = define(
-    550, "request_quarantined", "A request that crashed two targets is refused."
+    550,
+    "request_quarantined",
+    "A request that crashed two targets is refused.",
+    Level.WARNING,
+    (
+        "service",
+        "fingerprint",
+        "targets",
+    ),
+    "Find the request in the targets' logs and correct the service that it crashes.",
 )
 CLAIMS_BOOTSTRAPPED = define(
-    551, "claims_bootstrapped", "The first fleet was recorded; its hosts may vote."
+    551,
+    "claims_bootstrapped",
+    "The first fleet was recorded; its hosts may vote.",
+    Level.INFO,
+    ("hosts",),
 )
--- a/oleanderroute/metrics.py
+++ b/oleanderroute/metrics.py
@@ -29,7 +29,17 @@
             "oleander_queued_requests", "Requests that wait for a slot, by service."
         )
         self.ejected_targets = self._gauge(
-            "oleander_ejected_targets", "Targets out of use, by service."
+            "oleander_ejected_targets", "Targets ejected in this view, by service."
+        )
+        self.targets = self._gauge(
+            "oleander_targets", "Targets that this host may use, by service."
+        )
+        self.objective = self._gauge(
+            "oleander_objective_success_ratio", "Declared objective, by service."
+        )
+        self.objective_requests = self._counter(
+            "oleander_objective_requests_total",
+            "Requests that met the objective or not, by service, class and result.",
         )
         self.revision = self._gauge(
             "oleander_revision", "Revision of the declaration in force."
--- /dev/null
+++ b/oleanderroute/operator/gauges.py
@@ -0,0 +1,67 @@
+"""Sets the metrics that are read from state, at each scrape.
+
+Reading them only then costs a request nothing.
+"""
+
+from aioprometheus.histogram import Histogram
+
+from ..decisions.verdict import TargetState
+from ..metrics import LATENCY_BUCKETS_S
+
+
+def refresh(metrics, serving, burn, claim_table):
+    """Bring the state-derived metrics up to date.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    serving : Serving
+    burn : BurnLedger
+    claim_table : ClaimTable
+    """
+    # A service that is not declared any more must not keep its last value.
+    for gauge in (
+        metrics.queued,
+        metrics.ejected_targets,
+        metrics.targets,
+        metrics.objective,
+    ):
+        gauge.values.clear()
+    for name, entry in serving.entries.items():
+        refresh_service(metrics, name, entry)
+    metrics.claims_held.set({}, len(claim_table.claims))
+    for collector in (metrics.request_seconds, metrics.objective_requests):
+        collector.values.clear()
+    for (name, request_class), counts in burn.classes.items():
+        labels = {"service": name, "class": request_class.name.lower()}
+        metrics.request_seconds.set_value(labels, histogram_of(counts.latency))
+        good = {**labels, "result": "good"}
+        bad = {**labels, "result": "bad"}
+        metrics.objective_requests.set(good, counts.good_total)
+        metrics.objective_requests.set(bad, counts.bad_total)
+
+
+def refresh_service(metrics, name, entry):
+    """Set the gauges of one service."""
+    labels = {"service": name}
+    ejected = 0
+    for view in entry.router.views.values():
+        if view.state is TargetState.EJECTED:
+            ejected += 1
+    metrics.queued.set(labels, entry.gate.admission.waiting_count())
+    metrics.ejected_targets.set(labels, ejected)
+    metrics.targets.set(labels, len(entry.router.views))
+    metrics.objective.set(labels, entry.service.objective.success_share)
+
+
+def histogram_of(latency):
+    """Return the Prometheus histogram of a ``LatencyRecord``."""
+    histogram = Histogram(*LATENCY_BUCKETS_S)
+    total = 0
+    bounds = list(histogram.buckets)
+    for bound, count in zip(bounds, latency.bucket_counts, strict=True):
+        total += count
+        histogram.buckets[bound] = total
+    histogram.observations = total
+    histogram.sum = latency.sum_s
+    return histogram
--- a/oleanderroute/operator/resources.py
+++ b/oleanderroute/operator/resources.py
@@ -1,7 +1,6 @@
 """HTTP resources of the operator port."""
 
 from dataclasses import asdict
-from enum import Enum
 
 import falcon
 import orjson
@@ -64,7 +63,7 @@
         for target_id in entry.router.views:
             if wanted is not None and target_id != wanted:
                 continue
-            targets.append(asdict(entry.router.explain(target_id, now)))
+            targets.append(target_document(entry.router.explain(target_id, now)))
         if wanted is not None and not targets:
             raise falcon.HTTPNotFound(title=f"no target {wanted} in {service}")
         document = {"service": service, "targets": targets}
@@ -73,6 +72,18 @@
         response.content_type = falcon.MEDIA_JSON
 
 
+class Report:
+    """``GET /report``: this host's part of the burn report."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def on_get(self, request, response):
+        """Answer with the counts, latencies, spenders and incidents."""
+        response.data = to_json(self.daemon.report())
+        response.content_type = falcon.MEDIA_JSON
+
+
 class Metrics:
     """``GET /metrics``: Prometheus exposition format."""
 
@@ -117,15 +128,27 @@
     }
 
 
-def to_json(document):
-    """Return JSON bytes; enumeration members are given by name."""
-    return orjson.dumps(document, default=encode_value)
+def target_document(explanation):
+    """Return the JSON value of a ``TargetExplanation``.
+
+    ``reason`` is the text that verdicts carry between hosts and log records show;
+    ``figures`` are its parts.
+    """
+    document = asdict(explanation)
+    document["state"] = explanation.state.name.lower()
+    document["reason"] = explanation.reason.encode()
+    document["figures"] = document_of_reason(explanation.reason)
+    return document
 
 
-def encode_value(value):
-    """Encode what JSON does not know."""
-    if isinstance(value, Enum):
-        return value.name.lower()
-    if isinstance(value, (set, frozenset)):
-        return sorted(value)
-    raise TypeError(f"{type(value).__name__} is not JSON")
+def document_of_reason(reason):
+    """Return the parts of a ``VerdictReason`` as a JSON value."""
+    document = asdict(reason)
+    document["signal"] = reason.signal.value
+    document["restraint"] = reason.restraint.value
+    return document
+
+
+def to_json(document):
+    """Return JSON bytes of a value without enumeration members."""
+    return orjson.dumps(document)
--- a/oleanderroute/operator/server.py
+++ b/oleanderroute/operator/server.py
@@ -40,6 +40,7 @@
     application.add_route("/ready", resources.Readiness(daemon))
     application.add_route("/status", resources.Status(daemon))
     application.add_route("/explain", resources.Explain(daemon))
+    application.add_route("/report", resources.Report(daemon))
     application.add_route("/metrics", resources.Metrics(daemon))
     if settings.test_switches:
         application.add_route("/switches", resources.Switches(daemon.link_filter))
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -75,7 +75,7 @@
     message.write(PROTOCOL_FACTORY.getProtocol(transport))
     body = transport.getvalue()
     if len(body) > MAX_FRAME_BYTES:
-        raise MessageRejected(f"frame of {len(body)} bytes exceeds {MAX_FRAME_BYTES}")
+        raise MessageRejected(f"oversized frame: {len(body)} bytes")
     return FRAME_LENGTH.pack(len(body)) + body
 
 
@@ -120,7 +120,7 @@
     MessageRejected
     """
     if header.protocol_version not in ACCEPTED_VERSIONS:
-        raise MessageRejected(f"protocol version {header.protocol_version}")
+        raise MessageRejected(f"protocol version: {header.protocol_version}")
     if header.fleet != fleet:
         raise MessageRejected("message of another fleet")
 
--- a/oleanderroute/tasks/aggregator.py
+++ b/oleanderroute/tasks/aggregator.py
@@ -1,7 +1,6 @@
 """Pools the outcomes that the hosts of a failure domain report."""
 
 import asyncio
-from collections import deque
 from dataclasses import dataclass
 
 from .. import events
@@ -20,23 +19,6 @@
 POOL_LIFETIME_S = 120.0
 # Weights that differ by less are not sent again.
 WEIGHT_STEP = 0.05
-MAX_INCIDENTS = 1000
-
-
-@dataclass(frozen=True, slots=True)
-class Incident:
-    """A change of a target's state, kept for the burn report.
-
-    Attributes
-    ----------
-    at_unix_s : float
-    old : Verdict or None
-    """
-
-    at_unix_s: float
-    service_name: str
-    old: object
-    new: object
 
 
 class ServicePool:
@@ -136,7 +118,6 @@
         self.clock = clock
         self.metrics = metrics
         self.pools = {}
-        self.incidents = deque(maxlen=MAX_INCIDENTS)
 
     def receive_report(self, report, header):
         """Handle one ``OutcomeReport``; the reply carries the changed verdicts."""
@@ -213,18 +194,16 @@
                 self.note_change(name, change)
 
     def note_change(self, service_name, change):
-        """Log and keep a change of a target's state, for the night's incidents."""
+        """Log a change of a target's state; the incident log keeps it."""
         new = change.new
         if change.old is None and new.state is TargetState.HEALTHY:
             return
         if change.old is not None and change.old.state == new.state:
             return
-        self.incidents.append(
-            Incident(self.clock.wall(), service_name, change.old, new)
-        )
         events.VERDICT_CHANGED.log(
             service=service_name,
             target=new.target_id,
+            was="unknown" if change.old is None else change.old.state.name.lower(),
             state=new.state.name.lower(),
             reason=new.reason.encode(),
         )
