--- a/oleanderroute/cli.py
+++ b/oleanderroute/cli.py
@@ -4,8 +4,9 @@
 
 from . import __version__
 from .commands.declarations import apply, check, diff, history
-from .commands.hosts import explain, report, status
+from .commands.hosts import explain, status
 from .commands.output import EXIT_CODE_HELP
+from .commands.report import report
 
 
 @click.group(epilog=EXIT_CODE_HELP)
--- a/oleanderroute/commands/hosts.py
+++ b/oleanderroute/commands/hosts.py
@@ -1,123 +1,56 @@
-"""The commands status, explain and report, which ask hosts on their operator port."""
+"""The commands status and explain, which ask hosts on their operator port."""
 
 import asyncio
-from dataclasses import dataclass
 
-import aiohttp
 import click
 
-from .declarations import json_option
-from .output import CommandFailed, ExitCode, Output, text_lines
-
-DEFAULT_TIMEOUT_S = 5.0
-
-hosts_option = click.option(
-    "--host",
-    "hosts",
-    multiple=True,
-    required=True,
-    envvar="OLEANDER_HOSTS",
-    metavar="ADDRESS:PORT",
-    help="Operator port of a host; repeatable. Also OLEANDER_HOSTS, by spaces.",
-)
-timeout_option = click.option(
-    "--timeout-s",
-    type=click.FloatRange(min=0, min_open=True),
-    default=DEFAULT_TIMEOUT_S,
-    show_default=True,
-    help="Seconds to wait for each host.",
+from .asking import (
+    fail_for_silent,
+    find_and_ask,
+    host_list_option,
+    hosts_option,
+    timeout_option,
 )
-
-
-@dataclass(frozen=True, slots=True)
-class HostAnswer:
-    """What one host answered, or why it did not.
-
-    Attributes
-    ----------
-    document : object or None
-        Its JSON document.
-    error : str or None
-    """
-
-    host: str
-    document: object = None
-    error: str | None = None
+from .declarations import json_option
+from .output import Output, text_lines
 
 
 @click.command()
 @hosts_option
+@host_list_option
 @timeout_option
 @json_option
-def status(hosts, timeout_s, as_json):
+def status(hosts, store_url, timeout_s, as_json):
     """Show the state of hosts: readiness, revision in force, host list version.
 
     Reads GET /status, a JSON object; "revision" in it is compared over all hosts.
     Exits with 3 if a host does not answer.
     """
     output = Output(as_json)
-    answers = asyncio.run(ask_hosts(hosts, "/status", {}, timeout_s))
+    answers = asyncio.run(find_and_ask(hosts, store_url, "/status", {}, timeout_s))
     print_answers(output, answers, revision_lines(answers))
 
 
 @click.command()
 @hosts_option
+@host_list_option
 @click.option("--service", required=True, help="Name in the declaration.")
 @click.option("--target", default=None, help="Target id; all of the service if absent.")
 @timeout_option
 @json_option
-def explain(hosts, service, target, timeout_s, as_json):
+def explain(hosts, store_url, service, target, timeout_s, as_json):
     """Explain why targets of a service are in use or not, as each host sees it.
 
-    Reads GET /explain?service=&target=, a JSON document of states and reasons.
+    Reads GET /explain?service=&target=, a JSON document of states and reasons. The
+    reason is the one by which the host decided, in the form of its log records.
     Exits with 3 if a host does not answer, also when it does not know the name.
     """
     output = Output(as_json)
     query = {"service": service}
     if target is not None:
         query["target"] = target
-    answers = asyncio.run(ask_hosts(hosts, "/explain", query, timeout_s))
-    print_answers(output, answers, [])
-
-
-@click.command()
-@hosts_option
-@timeout_option
-@json_option
-def report(hosts, timeout_s, as_json):
-    """Show how much of each service's error budget is spent.
-
-    Reads GET /report, a JSON document. A host knows the time since its own start.
-    Exits with 3 if a host does not answer.
-    """
-    output = Output(as_json)
-    answers = asyncio.run(ask_hosts(hosts, "/report", {}, timeout_s))
-    print_answers(output, answers, [])
-
-
-async def ask_hosts(hosts, path, query, timeout_s):
-    """Ask all hosts at once.
-
-    Returns
-    -------
-    answers : list of HostAnswer
-        In the order of ``hosts``.
-    """
-    timeout = aiohttp.ClientTimeout(total=timeout_s)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
-        calls = [ask_host(session, host, path, query) for host in hosts]
-        return await asyncio.gather(*calls)
-
-
-async def ask_host(session, host, path, query):
-    """Ask one host and return its ``HostAnswer``."""
-    try:
-        async with session.get(f"http://{host}{path}", params=query) as response:
-            if response.status != 200:
-                return HostAnswer(host, error=f"status {response.status}")
-            return HostAnswer(host, document=await response.json(content_type=None))
-    except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-        return HostAnswer(host, error=f"{type(error).__name__} {error}")
+    asked = find_and_ask(hosts, store_url, "/explain", query, timeout_s)
+    print_answers(output, asyncio.run(asked), [])
 
 
 def print_answers(output, answers, summary):
@@ -132,10 +65,7 @@
             continue
         lines += text_lines(answer.document, indent=1)
     output.result({"hosts": documents}, [*lines, *summary])
-    silent = [answer.host for answer in answers if answer.error is not None]
-    if silent:
-        message = "no answer from " + ", ".join(silent)
-        raise CommandFailed(message, ExitCode.UNREACHABLE)
+    fail_for_silent([answer.host for answer in answers if answer.error is not None])
 
 
 def revision_lines(answers):
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -350,7 +350,13 @@
 
     def render_metrics(self, accept):
         """Return the metrics page and its headers."""
-        refresh(self.metrics, self.serving, self.burn, self.claim_table)
+        refresh(
+            self.metrics,
+            self.serving,
+            self.burn,
+            self.claim_table,
+            self.configuration.store_down,
+        )
         return render(self.metrics.registry, accept)
 
     async def run(self):
--- a/oleanderroute/metrics.py
+++ b/oleanderroute/metrics.py
@@ -41,6 +41,9 @@
             "oleander_objective_requests_total",
             "Requests that met the objective or not, by service, class and result.",
         )
+        self.store_available = self._gauge(
+            "oleander_store_available", "1 unless the key-value service is out, else 0."
+        )
         self.revision = self._gauge(
             "oleander_revision", "Revision of the declaration in force."
         )
--- a/oleanderroute/operator/blame.py
+++ b/oleanderroute/operator/blame.py
@@ -70,6 +70,17 @@
     cause: str
 
 
+# Looking a member up in its class takes up to 0.1 us, and a request needs several.
+GOOD = Judgement.GOOD
+BAD = Judgement.BAD
+EXCLUDED = Judgement.EXCLUDED
+TARGET = SpenderKind.TARGET
+ANSWERED = CallerOutcome.ANSWERED
+CANCELLED = AttemptKind.CANCELLED
+DEPENDENCY_SICK = Restraint.DEPENDENCY_SICK
+ERROR_STATUS = CAUSE_OF[AttemptKind.ERROR_STATUS]
+
+
 def judge(objective, answer, elapsed_s, end_kind):
     """Judge a request whose answer has ended.
 
@@ -86,15 +97,15 @@
     -------
     Judgement
     """
-    if end_kind is AttemptKind.CANCELLED or answer.reason in CALLER_MISTAKES:
-        return Judgement.EXCLUDED
-    if answer.outcome is not CallerOutcome.ANSWERED or end_kind in BROKEN_KINDS:
-        return Judgement.BAD
+    if end_kind is CANCELLED or answer.reason in CALLER_MISTAKES:
+        return EXCLUDED
+    if answer.outcome is not ANSWERED or end_kind in BROKEN_KINDS:
+        return BAD
     if answer.status >= SERVER_ERROR_STATUS:
-        return Judgement.BAD
+        return BAD
     if elapsed_s * 1000 > objective.latency_ms:
-        return Judgement.BAD
-    return Judgement.GOOD
+        return BAD
+    return GOOD
 
 
 def spender_of(context, answer, elapsed_s, end_kind):
@@ -109,15 +120,18 @@
     Spender
     """
     ended = context.ended_attempts
-    is_refusal = answer.outcome is not CallerOutcome.ANSWERED
+    is_refusal = answer.outcome is not ANSWERED
     if is_refusal and answer.reason in ATTEMPT_REASONS and ended:
         return target_spender(context, ended[-1], CAUSE_OF[ended[-1].kind])
     if is_refusal and answer.reason != DEADLINE_PASSED:
         return Spender(SpenderKind.FLEET, "", "", answer.reason)
     if end_kind in BROKEN_KINDS and ended:
         return target_spender(context, ended[-1], CAUSE_OF[ended[-1].kind])
-    if not is_refusal and answer.status >= SERVER_ERROR_STATUS and ended:
-        return target_spender(context, ended[-1], CAUSE_OF[AttemptKind.ERROR_STATUS])
+    if not is_refusal and answer.status >= SERVER_ERROR_STATUS:
+        if ended:
+            return target_spender(context, ended[-1], ERROR_STATUS)
+        # The recorded answer of an earlier run.
+        return Spender(SpenderKind.FLEET, "", "", answer.reason)
     return late_spender(context, answer, elapsed_s)
 
 
@@ -128,7 +142,7 @@
         if longest is None or attempt.latency_s > longest.latency_s:
             longest = attempt
     if longest is None or longest.latency_s < elapsed_s / 2:
-        is_refusal = answer.outcome is not CallerOutcome.ANSWERED
+        is_refusal = answer.outcome is not ANSWERED
         cause = answer.reason if is_refusal else WAITING
         return Spender(SpenderKind.FLEET, "", "", cause)
     cause = SLOW
@@ -141,9 +155,9 @@
     """Return the target of an attempt, or the dependency that it waits for."""
     view = context.entry.router.views.get(attempt.target_id)
     if view is None:
-        return Spender(SpenderKind.TARGET, attempt.target_id, "", cause)
-    if view.reason.restraint is Restraint.DEPENDENCY_SICK:
+        return Spender(TARGET, attempt.target_id, "", cause)
+    if view.reason.restraint is DEPENDENCY_SICK:
         names = ",".join(context.entry.service.depends_on)
         return Spender(SpenderKind.DEPENDENCY, names, "", cause)
     domain = view.target.failure_domain
-    return Spender(SpenderKind.TARGET, attempt.target_id, domain, cause)
+    return Spender(TARGET, attempt.target_id, domain, cause)
--- a/oleanderroute/operator/burn.py
+++ b/oleanderroute/operator/burn.py
@@ -5,7 +5,7 @@
 
 from ..metrics import LATENCY_BUCKETS_S
 from ..outcome import CallerOutcome
-from .blame import Judgement, Spender, judge, spender_of
+from .blame import EXCLUDED, GOOD, Spender, judge, spender_of
 from .histogram import LATENCY_UNIT_S, MAX_LATENCY_UNITS, LatencyHistogram
 from .windows import (
     FIXED_WINDOWS,
@@ -21,6 +21,7 @@
 # Bounds the memory of one service and class; what does not fit counts as "other".
 MAX_SPENDERS = 32
 OTHER = "other"
+NOT_RUN = CallerOutcome.NOT_RUN
 SPENDER_WINDOWS = frozenset({"1h", "3d", OBJECTIVE_WINDOW})
 
 
@@ -232,13 +233,13 @@
             burn.follow_time(now)
             burn.follow_objective(service)
         judgement = judge(service.objective, answer, elapsed_s, end_kind)
-        if judgement is Judgement.EXCLUDED:
+        if judgement is EXCLUDED:
             burn.excluded_total += 1
             return
         # Refusals are quick and would hide slow answers in the percentiles.
-        if answer.outcome is not CallerOutcome.NOT_RUN:
+        if answer.outcome is not NOT_RUN:
             burn.latency.record(elapsed_s)
-        if judgement is Judgement.GOOD:
+        if judgement is GOOD:
             burn.good_total += 1
             burn.pending_good += 1
             return
--- a/oleanderroute/operator/gauges.py
+++ b/oleanderroute/operator/gauges.py
@@ -9,7 +9,7 @@
 from ..metrics import LATENCY_BUCKETS_S
 
 
-def refresh(metrics, serving, burn, claim_table):
+def refresh(metrics, serving, burn, claim_table, store_down):
     """Bring the state-derived metrics up to date.
 
     Parameters
@@ -18,6 +18,8 @@
     serving : Serving
     burn : BurnLedger
     claim_table : ClaimTable
+    store_down : bool
+        Whether this host waits for the key-value service; only relays call it.
     """
     # A service that is not declared any more must not keep its last value.
     for gauge in (
@@ -30,6 +32,7 @@
     for name, entry in serving.entries.items():
         refresh_service(metrics, name, entry)
     metrics.claims_held.set({}, len(claim_table.claims))
+    metrics.store_available.set({}, 0 if store_down else 1)
     for collector in (metrics.request_seconds, metrics.objective_requests):
         collector.values.clear()
     for (name, request_class), counts in burn.classes.items():
