--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -114,7 +114,7 @@
                     target_id,
                     "--slots",
                     plan.slots,
-                    *plan.options,
+                    *self.target_options(target_id, plan),
                     name=target_id,
                     wait=False,
                 )
@@ -123,6 +123,10 @@
         for process in starting:
             process.wait_ready()
 
+    def target_options(self, target_id, plan):
+        """Return the extra command-line options of one target."""
+        return plan.options
+
     def start_daemon(self, host, **overrides):
         """Start one daemon without waiting for it."""
         settings = self.settings(host)
