End a peer connection without an unhandled exception group

The end of a peer connection was logged as 'Unhandled exception in client_connected_cb' for every connection: the error left a TaskGroup, which wraps it in an ExceptionGroup that the handler of connection errors does not match. A fault of the reply tasks was ruled out; the sub-exception was always IncompleteReadError of the frame prefix. The errors are now handled inside the group. Seen before with features/promises_once.feature in every daemon's error output, not seen after.

--- a/oleanderroute/peer/server.py
+++ b/oleanderroute/peer/server.py
@@ -1,6 +1,7 @@
 """Accepts connections of other hosts and answers their requests."""
 
 import asyncio
+import contextlib
 import inspect
 from ipaddress import ip_address, ip_network
 
@@ -81,8 +82,6 @@
         try:
             if self.is_allowed(writer):
                 await self.answer_requests(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
-            pass
         except asyncio.CancelledError:
             # Ending quietly keeps asyncio's stream callback from logging a stop.
             pass
@@ -105,36 +104,45 @@
         events.PEER_MESSAGE_DROPPED.log(reason=reason, source=source)
 
     async def answer_requests(self, reader, writer):
-        """Read frames one after another; each is answered in its own task."""
-        source = str(writer.get_extra_info("peername"))
+        """Answer each frame in its own task until the connection ends."""
         async with asyncio.TaskGroup() as group:
-            while True:
-                async with asyncio.timeout(IDLE_CLOSE_S):
-                    prefix = await reader.readexactly(FRAME_LENGTH.size)
-                    (length,) = FRAME_LENGTH.unpack(prefix)
-                    if length > MAX_FRAME_BYTES:
-                        self.drop("oversized frame", source)
-                        return
-                    body = await reader.readexactly(length)
-                try:
-                    request = decode_request(body)
-                    check_header(request.header, self.fleet)
-                    kind, value = body_kind(request.body)
-                    handler = self.handlers[kind]
-                except MessageRejected as error:
-                    self.drop(str(error), source)
-                    continue
-                except KeyError:
-                    self.drop("no handler for the kind of message", source)
-                    continue
-                if self.link_filter.drops_incoming(request.header.failure_domain):
-                    continue
-                self.on_header(request.header)
-                result = handler(value, request.header)
-                if inspect.isawaitable(result):
-                    group.create_task(self.reply_later(writer, request, result))
-                    continue
-                self.reply(writer, request, result)
+            # Within the group, because an error that leaves it is wrapped in an
+            # ExceptionGroup, which no handler of connection errors matches.
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError, TimeoutError
+            ):
+                await self.read_requests(reader, writer, group)
+
+    async def read_requests(self, reader, writer, group):
+        """Read frames one after another and start their answers."""
+        source = str(writer.get_extra_info("peername"))
+        while True:
+            async with asyncio.timeout(IDLE_CLOSE_S):
+                prefix = await reader.readexactly(FRAME_LENGTH.size)
+                (length,) = FRAME_LENGTH.unpack(prefix)
+                if length > MAX_FRAME_BYTES:
+                    self.drop("oversized frame", source)
+                    return
+                body = await reader.readexactly(length)
+            try:
+                request = decode_request(body)
+                check_header(request.header, self.fleet)
+                kind, value = body_kind(request.body)
+                handler = self.handlers[kind]
+            except MessageRejected as error:
+                self.drop(str(error), source)
+                continue
+            except KeyError:
+                self.drop("no handler for the kind of message", source)
+                continue
+            if self.link_filter.drops_incoming(request.header.failure_domain):
+                continue
+            self.on_header(request.header)
+            result = handler(value, request.header)
+            if inspect.isawaitable(result):
+                group.create_task(self.reply_later(writer, request, result))
+                continue
+            self.reply(writer, request, result)
 
     async def reply_later(self, writer, request, awaitable):
         """Send a reply once its handler has finished."""
