--- a/features/environment.py
+++ b/features/environment.py
@@ -8,6 +8,7 @@
 def before_feature(context, _feature):
     # Fleets that all scenarios of a feature use, by name; see promise_fleet.py.
     context.shared_fleets = {}
+    context.shared_runs = {}
     context.feature_stack = ExitStack()
 
 
