--- a/standins/load.py
+++ b/standins/load.py
@@ -105,7 +105,7 @@
             record.attempts.append(attempt)
             record.latency_s = time.monotonic() - planned
             resend = self.plan.resend
-            if not resend.applies(kind.name, number, attempt.outcome):
+            if not resend.applies(kind.name, number, attempt.outcome, attempt.status):
                 return
             await asyncio.sleep(resend.backoff_ms / 1000)
             if time.monotonic() >= deadline:
--- a/standins/load_plan.py
+++ b/standins/load_plan.py
@@ -85,18 +85,24 @@
         Sends of one request at most, the first included.
     outcomes : list of str
         ``not-run``, ``unknown``, ``error``, ``timeout`` or ``none``.
+    statuses : list of int
+        Statuses of answers that are sent again although they bear no outcome, as
+        those of a relay without ``Oleander-Outcome``.
     kinds : list of str or None
         Kinds that are resent; None means all.
     """
 
     attempts: int = 1
     outcomes: list = field(default_factory=lambda: ["not-run", "error"])
+    statuses: list = field(default_factory=list)
     kinds: list | None = None
     backoff_ms: float = 50.0
 
-    def applies(self, kind, attempt, outcome):
+    def applies(self, kind, attempt, outcome, status=None):
         """Tell whether an attempt is followed by another one."""
-        if attempt >= self.attempts or outcome not in self.outcomes:
+        if attempt >= self.attempts:
+            return False
+        if outcome not in self.outcomes and status not in self.statuses:
             return False
         return self.kinds is None or kind in self.kinds
 
--- a/standins/load_report.py
+++ b/standins/load_report.py
@@ -64,6 +64,13 @@
         """Latency in seconds without the lateness of the load command itself."""
         return self.latency_s - self.send_lag_s
 
+    @property
+    def censored_s(self):
+        """Latency in seconds; a request without a good answer took its deadline."""
+        if self.last().is_success:
+            return self.latency_s
+        return max(self.latency_s, self.deadline_s)
+
     def last(self):
         """Return the last attempt."""
         return self.attempts[-1]
@@ -121,6 +128,7 @@
             "latency_ms": self.percentiles("latency_s", only_success=True),
             "latency_from_send_ms": self.percentiles("from_send_s", only_success=True),
             "latency_all_ms": self.percentiles("latency_s"),
+            "latency_censored_ms": self.percentiles("censored_s"),
             "send_lag_ms": self.percentiles("send_lag_s"),
         }
 
--- a/standins/naive.py
+++ b/standins/naive.py
@@ -53,6 +53,16 @@
         if self.errors >= ERRORS_BEFORE_EXCLUSION:
             self.errors = 0
             self.excluded_until = time.monotonic() + EXCLUSION_S
+            self.announce_exclusion()
+
+    def announce_exclusion(self):
+        """Print a JSON line, from which benchmarks count exclusions."""
+        fields = {
+            "excluded": f"{self.address}:{self.port}",
+            "service": self.service,
+            "at": time.time(),
+        }
+        print(json.dumps(fields), flush=True)
 
 
 class RoundRobin:
