--- a/bench/ablated_daemon.py
+++ b/bench/ablated_daemon.py
@@ -19,6 +19,26 @@
 OWN_JUDGEMENT_PERIOD_S = 0.25
 
 
+class MissingPart(Exception):
+    """The daemon has no part of a name; replacing it would change nothing.
+
+    Parameters
+    ----------
+    owner : module or class
+    name : str
+    """
+
+    def __init__(self, owner, name):
+        super().__init__(f"{owner.__name__} has no {name}")
+
+
+def replace(owner, name, part):
+    """Put a part in the place of one that exists."""
+    if not hasattr(owner, name):
+        raise MissingPart(owner, name)
+    setattr(owner, name, part)
+
+
 def without_pooled_detection():
     """Let each host judge targets by its own outcomes alone."""
 
@@ -28,9 +48,9 @@
         def apply_verdicts(self, version, verdicts, now):
             """Drop the verdicts."""
 
-    service_router.VERDICT_LIFETIME_S = -math.inf
-    service_router.LOCAL_PERIOD_S = OWN_JUDGEMENT_PERIOD_S
-    serving.ServiceRouter = OwnRouter
+    replace(service_router, "VERDICT_LIFETIME_S", -math.inf)
+    replace(service_router, "LOCAL_PERIOD_S", OWN_JUDGEMENT_PERIOD_S)
+    replace(serving, "ServiceRouter", OwnRouter)
 
 
 def without_quick_reservation():
@@ -49,9 +69,9 @@
     def choose_long(table, excluded, long_limit, rng, now, is_local):
         return choice.choose_long(table, excluded, math.inf, rng, now, is_local)
 
-    choice.TargetView.has_long_slot = has_long_slot
-    service_router.choose_long = choose_long
-    daemon.SlotClient = NoLeases
+    replace(choice.TargetView, "has_long_slot", has_long_slot)
+    replace(service_router, "choose_long", choose_long)
+    replace(daemon, "SlotClient", NoLeases)
 
 
 def without_deadline_queue():
@@ -103,8 +123,8 @@
                         expired.append(ticket)
             return expired
 
-    admission.DeadlineQueue = ArrivalQueue
-    serving.Admission = PatientAdmission
+    replace(admission, "DeadlineQueue", ArrivalQueue)
+    replace(serving, "Admission", PatientAdmission)
 
 
 def without_retry_budget():
@@ -117,7 +137,7 @@
             """Allow the retry."""
             return budget.RetryDecision(True, budget.RetryReason.WITHIN_BUDGET)
 
-    serving.RetryBudget = NoBudget
+    replace(serving, "RetryBudget", NoBudget)
 
 
 @dataclass(frozen=True, slots=True)
