Wake an idle host ten times less often

The queue expiry woke the process 100 times a second although no request waited. It now does so only while a queue holds requests.

--- a/oleanderroute/tasks/housekeeping.py
+++ b/oleanderroute/tasks/housekeeping.py
@@ -6,6 +6,8 @@
 
 # Well below the shortest deadline that a route may declare.
 EXPIRY_PERIOD_S = 0.01
+# With empty queues nothing expires, and an idle host should cost little.
+IDLE_PERIOD_S = 0.1
 IDLE_CHECK_PERIOD_S = 10.0
 
 
@@ -31,10 +33,11 @@
         longest_s = 0.0
         checked_at = self.clock.now()
         while True:
+            period_s = EXPIRY_PERIOD_S if self.serving.busy_gates else IDLE_PERIOD_S
             before = self.clock.now()
-            await asyncio.sleep(EXPIRY_PERIOD_S)
+            await asyncio.sleep(period_s)
             now = self.clock.now()
-            longest_s = max(longest_s, now - before - EXPIRY_PERIOD_S)
+            longest_s = max(longest_s, now - before - period_s)
             self.serving.expire_queues()
             if now - checked_at < IDLE_CHECK_PERIOD_S:
                 continue
