Do not tell a chunked body over its bound as not run

The head of the request has reached the target before the bound is found exceeded, but the answer 413 said not-run (promise P3). Every error of an exchange now carries bytes_sent, also one that the request's body raises.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -156,6 +156,12 @@
       | request target   | 5000  | 431      |
       | declared body    | 2000  | 413      |
 
+  # P3: the head of a chunked request has left before its body is found too large.
+  Scenario: entry: A chunked body over the bound is not told as not run
+    Given entry: an entry with small limits
+    When entry: a caller sends 2000 bytes of chunked body
+    Then entry: the caller got "http/1.1 413,oleander-outcome: unknown" and not "not-run"
+
   Scenario Outline: entry: A slow caller is ended
     Given entry: an entry with small limits
     When entry: a caller sends "<sent>" and then nothing for <seconds> seconds
--- a/features/entry_fakes.py
+++ b/features/entry_fakes.py
@@ -78,7 +78,7 @@
 async def read_request(reader):
     request = FakeRequest(await reader.readuntil(b"\r\n\r\n"))
     if b"transfer-encoding: chunked" in request.lower:
-        while size := int(await reader.readline(), 16):
+        while size := int(await reader.readuntil(b"\r\n"), 16):
             request.add(await reader.readexactly(size))
             await reader.readexactly(2)
         await reader.readexactly(2)
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -429,6 +429,8 @@
         "an endless value": f"{head}A: {'a' * count}",
         "short headers": head + "A: b~" * (count // 6) + "~",
         "request target": f"GET /{'a' * count} HTTP/1.1~Host: a~~",
+        "chunked body": "POST / HTTP/1.1~Host: a~Connection: close~"
+        f"Transfer-Encoding: chunked~~{count:x}~{'a' * count}~0~~",
         "declared body": f"POST / HTTP/1.1~Host: a~Content-Length: {count}~~",
     }
     step_caller(context, requests[part])
--- a/oleanderroute/entry/app.py
+++ b/oleanderroute/entry/app.py
@@ -63,7 +63,7 @@
         """Return ``chunk`` if the body stays within the bound."""
         size = self.bytes_read + len(chunk)
         if self.max_bytes is not None and size > self.max_bytes:
-            raise BodyTooLarge(self.max_bytes, self.bytes_read)
+            raise BodyTooLarge(self.max_bytes)
         self.bytes_read = size
         return chunk
 
@@ -123,9 +123,9 @@
         try:
             return await self.pipeline.handle(request)
         except BodyTooLarge as error:
-            outcome = CallerOutcome.UNKNOWN
-            if error.bytes_read == 0:
-                outcome = CallerOutcome.NOT_RUN
+            outcome = CallerOutcome.NOT_RUN
+            if error.bytes_sent:
+                outcome = CallerOutcome.UNKNOWN
             return CallerAnswer(413, [], b"", outcome, BODY_TOO_LARGE)
 
 
--- a/oleanderroute/entry/caller_cycle.py
+++ b/oleanderroute/entry/caller_cycle.py
@@ -5,7 +5,7 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, RequestResponseCycle
 
 from .. import events
-from ..errors import OleanderError
+from ..errors import CallerDisconnected, OleanderError
 from .messages import AnswerBroken
 
 FAILED_HEADERS = [
@@ -99,7 +99,7 @@
 
     def application_failed(self, error):
         """Answer 500 if nothing was sent, else reset the connection."""
-        if not isinstance(error, AnswerBroken):
+        if not isinstance(error, (AnswerBroken, CallerDisconnected)):
             events.CALLER_REQUEST_FAILED.log(
                 path=self.scope["path"], error=type(error).__name__, reason=str(error)
             )
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -53,14 +53,18 @@
     Parameters
     ----------
     limit_bytes : int
-    bytes_read : int
-        Bytes of the body that were handed on before.
+
+    Attributes
+    ----------
+    bytes_sent : bool
+        Whether a part of the request may have reached a target; the target's
+        connection sets it.
     """
 
-    def __init__(self, limit_bytes, bytes_read):
+    def __init__(self, limit_bytes):
         super().__init__(f"body exceeds {limit_bytes} bytes")
         self.limit_bytes = limit_bytes
-        self.bytes_read = bytes_read
+        self.bytes_sent = False
 
 
 class AnswerBroken(OleanderError):
@@ -99,7 +103,7 @@
             in ``read_chunk`` when it does.
         """
         if self.length is not None and self.length > max_bytes:
-            raise BodyTooLarge(max_bytes, 0)
+            raise BodyTooLarge(max_bytes)
 
 
 class BytesBody(BodyReader):
--- a/oleanderroute/entry/target_connection.py
+++ b/oleanderroute/entry/target_connection.py
@@ -267,12 +267,17 @@
         self.fail_with(error_class(reason, self.bytes_sent))
 
     def fail_with(self, error):
-        """End the exchange with ``error`` and close the connection."""
+        """End the exchange with ``error`` and close the connection.
+
+        The error may also come from the body of the request, so that ``bytes_sent``
+        is set on every kind.
+        """
         waiter = self.waiter
         stream = self.stream
         if waiter is None:
             return
         error.reused = self.reused
+        error.bytes_sent = self.bytes_sent
         self.end_exchange()
         self.move(ConnectionEvent.FAILED)
         self.drop_transport()
