--- a/oleanderroute/decisions/comparison.py
+++ b/oleanderroute/decisions/comparison.py
@@ -25,9 +25,11 @@
 ORDERED_FAILURES = sorted(FAILURE_KINDS)
 # Factor that makes a median absolute deviation comparable to a standard deviation.
 DEVIATION_SCALE = 1.4826
-# Peers with the highest shares are left out of the pooled reference, because some
-# of them may be sick as well.
+# Peers with the highest shares are left out of the first reference, because some of
+# them may be sick as well.
 TRIMMED_PEERS = 1 / 3
+# Peers with more evidence against them are left out of the final reference.
+OUTLIER_EVIDENCE = 5.0
 SLOW_QUANTILE = 0.9
 SLOW_FACTOR = 3.0
 SLOW_DEVIATIONS = 6.0
@@ -99,15 +101,23 @@
 
 
 def pooled_share(shares):
-    """Return the share over all peers but those with the highest values."""
-    kept = sorted(shares, key=lambda share: share.value)
-    kept = kept[: len(kept) - int(len(kept) * TRIMMED_PEERS)]
-    return sum(share.hits for share in kept) / sum(share.samples for share in kept)
+    """Return the share over all attempts of a non-empty list of peers."""
+    return sum(share.hits for share in shares) / sum(share.samples for share in shares)
+
+
+def without_highest(shares):
+    """Return the peers but for the `TRIMMED_PEERS` with the highest shares."""
+    ordered = sorted(shares, key=lambda share: share.value)
+    return ordered[: len(ordered) - int(len(ordered) * TRIMMED_PEERS)]
 
 
 def reference_share(shares, minimum):
     """Return the share that peers let expect, at least ``minimum``.
 
+    The median and the trimmed share hold even if many peers are sick, but lie too
+    low when failures are few and come in bursts. They serve to find the peers that
+    are sick themselves; the others are then pooled.
+
     Parameters
     ----------
     shares : list of Share
@@ -116,8 +126,15 @@
     values = [share.value for share in shares]
     center = median(values)
     spread = median_deviation(values, center)
-    expected = max(center + spread, pooled_share(shares), minimum)
-    return min(expected, REFERENCE_MAXIMUM)
+    robust = max(center + spread, pooled_share(without_highest(shares)), minimum)
+    robust = min(robust, REFERENCE_MAXIMUM)
+    kept = []
+    for share in shares:
+        if evidence(share.value, robust, share.samples) < OUTLIER_EVIDENCE:
+            kept.append(share)
+    if not kept:
+        return robust
+    return min(max(robust, pooled_share(kept)), REFERENCE_MAXIMUM)
 
 
 class ClassComparison:
