--- a/features/steps/detection_steps.py
+++ b/features/steps/detection_steps.py
@@ -225,9 +225,9 @@
             self.naive.restrained.discard(transition.target_id)
             if transition.after is not TargetState.EJECTED:
                 continue
+            assert not self.roster.dependency_sick
             if transition.before is not TargetState.SUSPECT:
                 continue
-            assert not self.roster.dependency_sick
             slots = self.naive.serving_slots(self.now)
             assert slots >= self.service.floor_slots, slots
         conditions = self.roster.conditions.values()
--- a/oleanderroute/decisions/ejection.py
+++ b/oleanderroute/decisions/ejection.py
@@ -116,12 +116,15 @@
         self.transitions = []
         for condition in self.conditions.values():
             condition.assessment = assessments.get(condition.target_id, NO_ASSESSMENT)
+            if not condition.restrained:
+                condition.restraint = Restraint.NONE
+        restraint = self._common_restraint()
+        for condition in self.conditions.values():
             before = condition.state
             self._follow_time(condition, now)
             # The assessment was made under the state before.
             if condition.state is before:
-                self._follow_assessment(condition, now)
-        restraint = self._common_restraint()
+                self._follow_assessment(condition, restraint, now)
         if restraint is not Restraint.NONE:
             self._readmit_recent(restraint, now)
         self._eject_sickest(restraint, now)
@@ -211,19 +214,22 @@
             condition.strikes -= 1
             condition.strike_checked_at += STRIKE_DECAY_S
 
-    def _follow_assessment(self, condition, now):
+    def _follow_assessment(self, condition, restraint, now):
         state = condition.state
         if state is TargetState.PROBATION:
-            self._follow_probation(condition, now)
+            self._follow_probation(condition, restraint, now)
         elif state is TargetState.SUSPECT:
             self._follow_suspect(condition, now)
         elif state in SERVING_STATES and looks_sick(condition):
             condition.cause = condition.assessment.finding
             self._move(condition, TargetEvent.DOUBT, now)
 
-    def _follow_probation(self, condition, now):
+    def _follow_probation(self, condition, restraint, now):
         finding = condition.assessment.finding
         if finding.reason.evidence >= RELAPSE_EVIDENCE and finding.gap >= EJECT_GAP:
+            if restraint is not Restraint.NONE:
+                condition.restraint = restraint
+                return
             condition.cause = finding
             self._move(condition, TargetEvent.RELAPSE, now)
             self._start_ejection(condition, now)
--- a/oleanderroute/decisions/service_router.py
+++ b/oleanderroute/decisions/service_router.py
@@ -185,6 +185,7 @@
         self.verdict_version = version
         self.verdicts_at = now
         self.is_local = False
+        verdicts = list(verdicts)
         for verdict in verdicts:
             view = self.views.get(verdict.target_id)
             if view is None:
