--- a/features/routing.feature
+++ b/features/routing.feature
@@ -5,8 +5,7 @@
     Given a router of <targets> targets with <slots> slots
     And the router has <setup>
     When 300 <class> requests that are <repeatability> are routed
-    Then the router uses targets <used>
-    And the router's reasons include <reason>
+    Then the router uses targets <used> because of <reason>
 
     Examples:
       | rule             | targets | slots | setup                   | class | repeatability | used         | reason              |
@@ -53,8 +52,8 @@
   Scenario: Long requests in flight elsewhere exclude the own ones
     # Guards against own long requests that are counted twice.
     Given a router of 5 targets with 4 slots
-    When the router starts 2 long requests on t0 and a verdict counts 2
-    Then the router explains t0 with 2 own and 0 other long requests
+    Then of 2 long requests, 2 of them own, the router explains 0
+    And of 5 long requests, 3 of them own, the router explains 2
 
   Scenario: Old verdicts give way to own outcomes, and new ones return
     # Guards against a host that trusts an aggregator which is gone.
@@ -83,8 +82,7 @@
     # Guards against a flood on a recovering dependency, and ejections it causes.
     Given dependencies where pedidos needs precios, which needs tablas
     When the dependency tablas has capacity <shares> over 10 s each
-    Then the dependency admits <admitted> of pedidos
-    And the dependency <suppressed> ejection in pedidos
+    Then the dependency admits <admitted> of pedidos and <suppressed> ejection
 
     Examples:
       | shares          | admitted | suppressed          |
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -136,17 +136,13 @@
     context.routing.route(count, RequestClass[cls], idempotent)
 
 
-@then("the router uses targets {used}")
-def step_used(context, used):
+@then("the router uses targets {used} because of {reason}")
+def step_used(context, used, reason):
     expected = set()
     if used != "none":
         first, last = used.replace("t", "").split("o")
         expected = {f"t{number}" for number in range(int(first), int(last) + 1)}
     assert set(context.routing.chosen) == expected, context.routing.chosen
-
-
-@then("the router's reasons include {reason}")
-def step_reasons(context, reason):
     assert ChoiceReason[reason] in context.routing.reasons, context.routing.reasons
 
 
@@ -179,15 +175,12 @@
     assert low <= share <= high, share
 
 
-@when("the router starts {own:d} long requests on t0 and a verdict counts {all:d}")
-def step_long_verdict(context, own, all):
-    run_here(LONG, own)(context.routing)
-    context.routing.judge("t0", HEALTHY, 1.0, all)
-
-
-@then("the router explains t0 with {own:d} own and {other:d} other long requests")
-def step_explain(context, own, other):
-    explanation = context.routing.router.explain("t0", context.routing.now())
+@then("of {all:d} long requests, {own:d} of them own, the router explains {other:d}")
+def step_long_verdict(context, own, all, other):
+    driver = context.routing
+    run_here(LONG, own - driver.router.views["t0"].long)(driver)
+    driver.judge("t0", HEALTHY, 1.0, all)
+    explanation = driver.router.explain("t0", driver.now())
     assert explanation.long_in_flight == own, explanation
     assert explanation.long_elsewhere == other, explanation
 
@@ -319,15 +312,11 @@
             context.dependencies.update(name, state, context.now)
 
 
-@then("the dependency admits {admitted:g} of pedidos")
-def step_admits(context, admitted):
+@then("the dependency admits {admitted:g} of pedidos and {suppressed} ejection")
+def step_admits(context, admitted, suppressed):
     share = context.dependencies.admission_share("pedidos")
     assert abs(share.share - admitted) < 0.01, share
     assert (share.dependency == "tablas") == (admitted < 1.0), share
-
-
-@then("the dependency {suppressed} ejection in pedidos")
-def step_suppresses(context, suppressed):
     expected = suppressed == "suppresses"
     assert context.dependencies.is_ejection_suppressed("pedidos") == expected
 
