--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -23,6 +23,7 @@
 from oleanderroute.declaration.model import Objective, Service, Target
 from oleanderroute.outcome import Attempt, AttemptKind, RequestClass
 
+HEALTHY = TargetState.HEALTHY
 QUICK = RequestClass.QUICK
 LONG = RequestClass.LONG
 LIMIT = 330
@@ -61,23 +62,13 @@
                 self.chosen[choice.target.target_id] += 1
 
 
-def set_leaving(driver):
-    driver.router.set_targets(driver.router.service.targets, {"t0"})
-
-
-def drain(driver):
-    driver.router.mark_draining("t0", driver.now())
-
-
-def drain_long_ago(driver):
-    drain(driver)
-    driver.clock.advance(61.0)
-    driver.router.apply_verdicts(1, [], driver.now())
-
+def drain(ago_s=0.0):
+    def setup(driver):
+        driver.router.mark_draining("t0", driver.now())
+        driver.clock.advance(ago_s)
+        driver.judge("t0", HEALTHY, 1.0)
 
-def drain_then_judge(driver):
-    drain(driver)
-    driver.judge("t0", TargetState.HEALTHY, 1.0)
+    return setup
 
 
 def run_here(request_class, count):
@@ -92,9 +83,13 @@
     return lambda driver: driver.judge("t0", state, weight, long_running)
 
 
+def leave(driver):
+    driver.router.set_targets(driver.router.service.targets, {"t0"})
+
+
 def run_elsewhere(driver):
     for number in range(5):
-        driver.judge(f"t{number}", TargetState.HEALTHY, 1.0, 2)
+        driver.judge(f"t{number}", HEALTHY, 1.0, 2)
 
 
 def finish(kind, latency_s=0.01, ago_s=0.0):
@@ -108,13 +103,12 @@
     return setup
 
 
-HEALTHY = TargetState.HEALTHY
 SETUPS = {
     "nothing special": lambda driver: None,
-    "t0 leaving": set_leaving,
-    "t0 draining": drain,
-    "t0 drained 61 s ago": drain_long_ago,
-    "t0 draining and healthy": drain_then_judge,
+    "t0 leaving": leave,
+    "t0 draining": lambda driver: driver.router.mark_draining("t0", driver.now()),
+    "t0 draining and healthy": drain(),
+    "t0 drained 61 s ago": drain(61.0),
     "t0 ejected": judged(TargetState.EJECTED, 0.0),
     "t0 on probation": judged(TargetState.PROBATION, 0.2),
     "t0 at weight 0.25": judged(TargetState.RAMPING, 0.25),
@@ -147,17 +141,13 @@
     context.routing.route(count, RequestClass[cls], idempotent)
 
 
-@then("the router uses targets {used}")
-def step_used(context, used):
+@then("the router uses targets {used} because of {reason}")
+def step_used(context, used, reason):
     expected = set()
     if used != "none":
         first, last = used.replace("t", "").split("o")
         expected = {f"t{number}" for number in range(int(first), int(last) + 1)}
     assert set(context.routing.chosen) == expected, context.routing.chosen
-
-
-@then("the router's reasons include {reason}")
-def step_reasons(context, reason):
     assert ChoiceReason[reason] in context.routing.reasons, context.routing.reasons
 
 
@@ -190,15 +180,12 @@
     assert low <= share <= high, share
 
 
-@when("the router starts {own:d} long requests on t0 and a verdict counts {all:d}")
-def step_long_verdict(context, own, all):
-    run_here(LONG, own)(context.routing)
-    context.routing.judge("t0", HEALTHY, 1.0, all)
-
-
-@then("the router explains t0 with {own:d} own and {other:d} other long requests")
-def step_explain(context, own, other):
-    explanation = context.routing.router.explain("t0", context.routing.now())
+@then("of {all:d} long requests, {own:d} of them own, the router explains {other:d}")
+def step_long_verdict(context, own, all, other):
+    driver = context.routing
+    run_here(LONG, own - driver.router.views["t0"].long)(driver)
+    driver.judge("t0", HEALTHY, 1.0, all)
+    explanation = driver.router.explain("t0", driver.now())
     assert explanation.long_in_flight == own, explanation
     assert explanation.long_elsewhere == other, explanation
 
@@ -224,16 +211,12 @@
     assert driver.router.verdict_version == 0
 
 
-@when("the router gets new verdicts")
-def step_new_verdicts(context):
-    context.routing.judge("t0", HEALTHY, 1.0)
-    context.routing.clock.advance(10.0)
-    context.routing.route(300)
-
-
-@then("the router uses verdicts and sends t0 traffic again")
+@then("the router sends t0 traffic again after new verdicts")
 def step_verdicts_used(context):
     driver = context.routing
+    driver.judge("t0", HEALTHY, 1.0)
+    driver.clock.advance(10.0)
+    driver.route(300)
     assert not driver.router.explain("t0", driver.now()).is_local
     assert driver.chosen["t0"] > 10, driver.chosen
 
@@ -335,15 +318,11 @@
             context.dependencies.update(name, state, context.now)
 
 
-@then("the dependency admits {admitted:g} of pedidos")
-def step_admits(context, admitted):
+@then("the dependency admits {admitted:g} of pedidos and {suppressed} ejection")
+def step_admits(context, admitted, suppressed):
     share = context.dependencies.admission_share("pedidos")
     assert abs(share.share - admitted) < 0.01, share
     assert (share.dependency == "tablas") == (admitted < 1.0), share
-
-
-@then("the dependency {suppressed} ejection in pedidos")
-def step_suppresses(context, suppressed):
     expected = suppressed == "suppresses"
     assert context.dependencies.is_ejection_suppressed("pedidos") == expected
 
