--- a/features/claims.feature
+++ b/features/claims.feature
@@ -19,18 +19,22 @@
     Then claims end with "<result>"
 
     Examples:
-      | trace                   | protocol                  | result          |
-      | first holder replaced   | single holder             | a key ran twice |
-      | first holder replaced   | as designed               | no violation    |
-      | shared holder restarted | no age rule               | a key ran twice |
-      | shared holder restarted | as designed               | no violation    |
-      | holder departed         | departed hosts not ranked | a key ran twice |
-      | holder departed         | holder without own view   | a key ran twice |
-      | holder departed         | as designed               | no violation    |
-      | delisted holder cut off | no list staleness rule    | a key ran twice |
-      | delisted holder cut off | as designed               | no violation    |
-      | frozen entry resumes    | no dispatch deadline      | a key ran twice |
-      | frozen entry resumes    | as designed               | no violation    |
+      | trace                   | protocol                         | result          |
+      | first holder replaced   | single holder                    | a key ran twice |
+      | first holder replaced   | as designed                      | no violation    |
+      | shared holder restarted | no age rule                      | a key ran twice |
+      | shared holder restarted | as designed                      | no violation    |
+      | holder departed         | departed hosts not ranked        | a key ran twice |
+      | holder departed         | holder without own view          | a key ran twice |
+      | holder departed         | as designed                      | no violation    |
+      | delisted holder votes   | departed ranked for one lifetime | a key ran twice |
+      | delisted holder votes   | as designed                      | no violation    |
+      | newcomer unseen         | age of one lifetime              | a key ran twice |
+      | newcomer unseen         | as designed                      | no violation    |
+      | delisted holder cut off | no list staleness rule           | a key ran twice |
+      | delisted holder cut off | as designed                      | no violation    |
+      | frozen entry resumes    | no dispatch deadline             | a key ran twice |
+      | frozen entry resumes    | as designed                      | no violation    |
 
   # Guards against a round that runs, or promises "not run", on too little.
   Scenario Outline: Claims decide on votes <votes>
@@ -59,8 +63,8 @@
 
     Examples:
       | state               | reason           |
-      | old                 | free             |
-      | young               | holder-too-young |
+      | 649 s old           | holder-too-young |
+      | 708 s old           | free             |
       | bootstrap           | free             |
       | other incarnation   | holder-too-young |
       | bootstrap relisted  | holder-too-young |
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -92,8 +92,8 @@
     incarnation = 2 if state == "other incarnation" else 1
     table = make_table(clock, incarnation, bootstrap=is_bootstrap)
     view = table.view
-    if state in ("old", "unconfirmed for 60s", "back after 600s", "delisted"):
-        for _ in range(12):
+    if not is_bootstrap:
+        for _ in range(11 if state == "649 s old" else 12):
             clock.advance(59.0)
             view.confirm(1, clock.now(), clock.now())
     if state == "unconfirmed for 60s":
@@ -104,14 +104,13 @@
     if state in ("delisted", "bootstrap relisted"):
         view.update(2, HOSTS[1:], clock.now())
     if state == "delisted":
+        # Even a holder whose age is not in doubt.
         view.listed_since = 0.0
         view.confirm(2, clock.now(), clock.now())
     if state == "bootstrap relisted":
         view.update(3, HOSTS, clock.now())
         view.confirm(3, clock.now(), clock.now())
     asked = ["b", "c"] if state == "not asked" else ASKED
-    if state == "not asked":
-        table = make_table(clock)
     context.vote = ask(table, clock, asked=asked)
 
 
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -120,9 +120,9 @@
 
 def compare_slots(steps):
     clock = ManualClock()
-    service = make_service(slots=3)
+    service = make_service(targets=2, slots=3)
     names = [target.target_id for target in service.targets]
-    real, naive = LongSlots(service, clock), NaiveSlots(names, 2, 6)
+    real, naive = LongSlots(service, clock), NaiveSlots(names, 2, 3)
     clock.advance(3)
     for action, lease, gap in steps:
         clock.advance(GAPS_S[gap] if gap < 4 else 2.0)
@@ -130,12 +130,12 @@
         # Entries' other messages keep the coordinator from noticing a gap.
         real.last_heard = now
         if action <= 3:
-            excluded = {names[action]}
+            excluded = {names[0]} if action < 2 else set()
             decision = real.acquire(lease, excluded, now)
             assert decision.target_id == naive.acquire(lease, excluded, now)
         elif action == 4:
-            real.renew(lease, names[lease % 4], now)
-            naive.renew(lease, names[lease % 4], now)
+            real.renew(lease, names[lease % 2], now)
+            naive.renew(lease, names[lease % 2], now)
         else:
             real.release(lease)
             naive.release(lease)
--- a/features/support/claims_traces.py
+++ b/features/support/claims_traces.py
@@ -5,6 +5,8 @@
 from oleanderroute.decisions.holder_view import rank_distinct_domains
 
 KEY = "o:traced"
+# The number that makes a new host of the first holder's domain rank first.
+NEWCOMER_NUMBER = 5
 
 
 def ranked_hosts(world):
@@ -61,6 +63,35 @@
     run(world, ranked_hosts(world)[1:3])
 
 
+def delisted_holder_votes(world):
+    first, second, _, _ = ranked_hosts(world)
+    world.processes[first].is_cut = True
+    world.relist(first, False)
+    world.advance(1)
+    world.advance(58)
+    run(world, [first, second], back=1)
+    world.advance(LIFETIME_S - 57)
+    del world.processes[first]
+    run(world, ranked_hosts(world)[1:3])
+
+
+def newcomer_unseen(world):
+    """Two holders with lists 59 s old grant without a newcomer that ranks first."""
+    holders = ranked_hosts(world)
+    newcomer = f"{holders[0][0]}{NEWCOMER_NUMBER}"
+    world.relist(newcomer, True)
+    world.restart(newcomer)
+    for holder in holders[:2]:
+        world.processes[holder].is_cut = True
+    world.advance(59)
+    run(world, holders[:2], back=1)
+    for holder in holders[:2]:
+        world.processes[holder].is_cut = False
+    world.advance(LIFETIME_S - 59 + 1)
+    assert ranked_hosts(world)[0] == newcomer
+    run(world, [newcomer, holders[2]])
+
+
 def frozen_entry_resumes(world):
     holders = ranked_hosts(world)[:3]
     frozen = vote(world, holders)
@@ -75,6 +106,8 @@
     "shared holder restarted": shared_holder_restarted,
     "holder departed": holder_departed,
     "delisted holder cut off": delisted_holder_cut_off,
+    "delisted holder votes": delisted_holder_votes,
+    "newcomer unseen": newcomer_unseen,
     "frozen entry resumes": frozen_entry_resumes,
 }
 
--- a/features/support/claims_world.py
+++ b/features/support/claims_world.py
@@ -38,6 +38,16 @@
         return True
 
 
+class HastyView(claims.HolderView):
+    """A view whose age rule leaves the staleness of other voters' lists out."""
+
+    def is_old_enough(self, now):
+        is_old = self.listed_since is not None
+        return self.is_bootstrap_member or (
+            is_old and now - self.listed_since >= self.lifetime_s
+        )
+
+
 class TrustingView(claims.HolderView):
     """A view that votes by a host list of any age."""
 
@@ -51,6 +61,12 @@
     retention_s = 0.0
 
 
+class BarelyRetainingView(claims.HolderView):
+    """A view that ranks departed hosts for a lifetime, without the staleness."""
+
+    retention_s = LIFETIME_S
+
+
 class CredulousTable(claims.ClaimTable):
     """A holder that votes whenever it is asked, whatever its own view says."""
 
@@ -87,8 +103,10 @@
     "as designed": Protocol(),
     "single holder": Protocol(round=SingleHolderRound),
     "no age rule": Protocol(view=AgelessView),
+    "age of one lifetime": Protocol(view=HastyView),
     "no list staleness rule": Protocol(view=TrustingView),
     "departed hosts not ranked": Protocol(view=ForgetfulView),
+    "departed ranked for one lifetime": Protocol(view=BarelyRetainingView),
     "holder without own view": Protocol(table=CredulousTable),
     "no dispatch deadline": Protocol(round=UnboundedRound),
 }
--- a/oleanderroute/decisions/claim_table.py
+++ b/oleanderroute/decisions/claim_table.py
@@ -1,5 +1,6 @@
 """The holder's side of at-most-once claims."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from ..ids import ClaimOwner, Fingerprint
@@ -60,7 +61,8 @@
         self.limits = limits
         self.clock = clock
         self.view = view
-        self.claims = {}
+        # Unlike a dict, it is fast to read from the front after many removals there.
+        self.claims = OrderedDict()
         self.used_bytes = 0
 
     def request(self, key, owner, fingerprint, holders, now):
--- a/oleanderroute/decisions/quarantine.py
+++ b/oleanderroute/decisions/quarantine.py
@@ -1,5 +1,6 @@
 """Requests that crash the targets that run them."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
 
@@ -68,8 +69,8 @@
     def __init__(self, clock, max_fingerprints=MAX_FINGERPRINTS):
         self.clock = clock
         self.max_fingerprints = max_fingerprints
-        self.suspected = {}
-        self.refused = {}
+        self.suspected = OrderedDict()
+        self.refused = OrderedDict()
 
     def is_refused(self, fingerprint, now):
         """Return whether a request must not run now.
--- a/oleanderroute/decisions/slots.py
+++ b/oleanderroute/decisions/slots.py
@@ -1,5 +1,6 @@
 """Leases of a service's slots to long requests, at the slot coordinator."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
 
@@ -63,7 +64,7 @@
         self.clock = clock
         self.listens_until = clock.now() + LISTEN_S
         self.last_heard = clock.now()
-        self.leases = {}
+        self.leases = OrderedDict()
         self.long_on_target = {}
         self.set_targets([target.target_id for target in service.targets])
 
@@ -196,7 +197,6 @@
         self.long_on_target[target_id] = self.long_running(target_id) + 1
 
     def _touch(self, lease_id, lease, now):
-        # Re-insertion keeps the leases in the order of their latest renewal.
-        del self.leases[lease_id]
+        # The leases stay in the order of their latest renewal.
         lease.renewed_at = now
-        self.leases[lease_id] = lease
+        self.leases.move_to_end(lease_id)
