Write the report and the metrics page in steps that let requests run

At 450 services each kept the event loop for tens of milliseconds. Adds scenarios of a streamed answer that is cut in a real fleet, and of a fault of the program.

--- a/features/report.feature
+++ b/features/report.feature
@@ -86,6 +86,12 @@
   Scenario: report: The page is self-contained, well-formed and escapes foreign names
     Then report: a page about hostile names loads nothing and runs nothing
 
+  Scenario: report: The metrics page written in steps is the library's
+    Then report: the metrics page in steps has the lines that the library writes
+
+  Scenario: report: A request that ends with a fault of the program counts as bad
+    Then report: a pipeline whose attempts fail counts a bad request of the fleet
+
   Scenario Outline: report: With log level <level> the log holds <written>
     Then report: with log level <level> the log holds <written>
 
@@ -103,3 +109,9 @@
     And report: the incidents hold its ejection with the reason that explain prints
     And report: a scrape parses, with units in names and the ejected target counted
     And report: after a host is killed the report says which part is missing
+
+  Scenario: report: A streamed answer that its target breaks off spends budget
+    Given report: a fleet of one host and one target
+    When report: a caller gets 300000 bytes, and another one leaves in the middle
+    And report: the target is killed in the middle of a long answer
+    Then report: 1 request is good, 1 is bad, 1 is not counted
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -3,12 +3,14 @@
 import copy
 import json
 import re
+import socket
 import time
 import urllib.error
 import urllib.request
 from html.parser import HTMLParser
 from types import SimpleNamespace
 
+from aioprometheus import render
 from behave import given, then, when
 from eliot import add_destinations, remove_destination
 from hdrh.histogram import HdrHistogram
@@ -16,22 +18,26 @@
 from hypothesis import settings, strategies
 
 from bench.fleet import LocalFleet, ServicePlan, get_json
-from bench.routes import EXAMPLE_ROUTES
-from features.support.processes import eventually
+from bench.routes import EXAMPLE_ROUTES, LOOKUP
+from features.support.processes import LOOPBACK, eventually
 from oleanderroute import events
 from oleanderroute.clock import ManualClock
 from oleanderroute.commands.asking import HostAnswer
 from oleanderroute.commands.report import merge_answers
 from oleanderroute.commands.report_page import report_page
 from oleanderroute.commands.report_text import report_lines, spender_text
+from oleanderroute.decisions.quarantine import Quarantine
 from oleanderroute.decisions.verdict import Restraint
-from oleanderroute.declaration.model import Objective
-from oleanderroute.entry.messages import CallerAnswer
+from oleanderroute.declaration.model import Objective, Repeatability
+from oleanderroute.entry.messages import BytesBody, CallerAnswer, CallerRequest
+from oleanderroute.entry.pipeline import Pipeline, ServingView
 from oleanderroute.entry.streamed import StreamedBody
 from oleanderroute.errors import BetweenBytesTimeout, ConnectionBroken
 from oleanderroute.logs import LevelFilter
+from oleanderroute.metrics import Metrics
 from oleanderroute.operator.blame import Spender, SpenderKind
 from oleanderroute.operator.burn import BurnLedger
+from oleanderroute.operator.exposition import metrics_page
 from oleanderroute.operator.histogram import MAX_LATENCY_UNITS, LatencyHistogram
 from oleanderroute.operator.hostreport import host_report
 from oleanderroute.operator.incidents import IncidentLog
@@ -94,7 +100,7 @@
     identity = SimpleNamespace(host_id=host_id, failure_domain="a", region="r")
     incidents = incidents or IncidentLog()
     document = host_report(identity, serving, ledger, incidents, ledger.clock)
-    return json.loads(json.dumps(document))
+    return json.loads(json.dumps(drive(document)))
 
 
 def merged(documents, now_unix_s, silent=()):
@@ -136,11 +142,11 @@
         ledger = BurnLedger(clock)
         seen = replay(requests, clock, [ledger])
         clock.advance(pause_s)
-        document = ledger.document()
+        documents = list(ledger.documents())
         if not seen:
-            assert document == {}
+            assert documents == []
             return
-        counts = document["shop"]["quick"]["windows"]
+        counts = documents[0].counts["windows"]
         for name, bucket_s in BUCKET_S.items():
             expected = {
                 "good": recount(seen, clock.now(), bucket_s, True),
@@ -250,7 +256,7 @@
         AttemptKind.OK,
     )
     context.ledger.record(request, answer_of(body=body), 0.001)
-    assert context.ledger.document() == {}, "counted before its end"
+    assert list(context.ledger.documents()) == [], "counted before its end"
     context.clock.advance(ms / 1000)
     drive(read_stream(body, leaves=end == "left"))
 
@@ -267,17 +273,18 @@
 
 
 def drive(coroutine):
-    """Run a coroutine that never waits for anything."""
-    try:
-        coroutine.send(None)
-    except StopIteration:
-        return
-    raise AssertionError("the coroutine waits")
+    """Run a coroutine that waits for nothing and return its result."""
+    while True:
+        try:
+            coroutine.send(None)
+        except StopIteration as end:
+            return end.value
 
 
 @then("report: the request is {judgement}, spent by {spender}")
 def step_judgement(context, judgement, spender):
-    counts = context.ledger.document()["shop"]["quick"]
+    (document,) = context.ledger.documents()
+    counts = document.counts
     five = counts["windows"]["5m"]
     found = {"good": five["good"], "bad": five["bad"], "excluded": counts["excluded"]}
     assert found == {"good": 0, "bad": 0, "excluded": 0, judgement: 1}, found
@@ -300,7 +307,8 @@
 
 @then("report: at most {limit:d} spenders are kept and they spent {count:d} requests")
 def step_bounded_spenders(context, limit, count):
-    spenders = context.ledger.document()["shop"]["quick"]["spenders"]
+    (document,) = context.ledger.documents()
+    spenders = document.counts["spenders"]
     assert len(spenders) <= limit, len(spenders)
     spent = sum(row["counts"][OBJECTIVE_WINDOW] for row in spenders)
     assert spent == count, spent
@@ -488,6 +496,54 @@
     assert ", ".join(levels) == written, levels
 
 
+@then("report: the metrics page in steps has the lines that the library writes")
+def step_page_in_steps(context):
+    metrics = Metrics()
+    for number in range(12):
+        labels = {"service": f"s-{number}"}
+        metrics.requests.inc(labels)
+        metrics.queued.set(labels, number)
+        metrics.request_seconds.observe(labels, number / 10)
+    found = drive(metrics_page(metrics.registry)).decode()
+    expected = render(metrics.registry, [])[0].decode()
+    assert sorted(found.splitlines()) == sorted(expected.splitlines())
+    assert found.endswith("\n")
+
+
+class FailingRunner:
+    """Fails like a fault of the program in the middle of a request."""
+
+    async def run(self, context):
+        raise ZeroDivisionError
+
+
+@then("report: a pipeline whose attempts fail counts a bad request of the fleet")
+def step_fault(context):
+    clock = ManualClock()
+    ledger = BurnLedger(clock)
+    route = SimpleNamespace(
+        service="shop",
+        request_class=RequestClass.QUICK,
+        repeatability=Repeatability.IDEMPOTENT,
+        deadline_ms=1000,
+        max_body_bytes=1,
+    )
+    match = SimpleNamespace(route=route)
+    routes = SimpleNamespace(match=lambda *_: match)
+    quarantine = Quarantine(clock)
+    pipeline = Pipeline(None, quarantine, FailingRunner(), clock, Metrics(), ledger)
+    pipeline.set_view(ServingView(routes, {"shop": fake_context().entry}, 1))
+    request = CallerRequest("GET", "/", b"/", [], BytesBody(), clock.now(), "r-1")
+    try:
+        drive(pipeline.handle(request))
+        raise AssertionError("the fault was hidden")
+    except ZeroDivisionError:
+        pass
+    report = merged([part_of(ledger)], clock.wall())
+    spenders = [spender_text(row) for row in report.services[0].spenders]
+    assert spenders == ["fleet, internal-error"], spenders
+
+
 # Real processes
 
 
@@ -628,3 +684,67 @@
     assert missing == [host.host_id]
     (service,) = document["services"]
     assert service["windows"]["5m"]["bad"] == context.sent[500]
+
+
+@given("report: a fleet of one host and one target")
+def step_small_fleet(context):
+    services = {"pedidos": ServicePlan(1, floor_slots=1)}
+    context.fleet = LocalFleet(context.stack, services, [LOOKUP], hosts=1)
+    context.fleet.start()
+
+
+def ask_for(fleet, size):
+    """Ask for a streamed answer of some size; return the caller's socket."""
+    port = fleet.hosts[0].caller_port
+    caller = socket.create_connection((LOOPBACK, port), timeout=10)
+    head = f"GET /stock/x HTTP/1.1\r\nHost: a\r\nX-Answer-Bytes: {size}\r\n\r\n"
+    caller.sendall(head.encode())
+    assert caller.recv(1024).startswith(b"HTTP/1.1 200")
+    return caller
+
+
+def quick_counts(fleet):
+    """Return good, bad and excluded requests of the fleet's only host."""
+    document = get_json(f"{fleet.operator_url(fleet.hosts[0])}/report")
+    counts = document["services"]["pedidos"]["classes"].get("quick")
+    if counts is None:
+        return [0, 0, 0]
+    five = counts["windows"]["5m"]
+    return [five["good"], five["bad"], counts["excluded"]]
+
+
+def wait_counts(context, expected):
+    eventually(
+        lambda: quick_counts(context.fleet) == expected,
+        message=f"the counts never became {expected}",
+    )
+
+
+@when("report: a caller gets 300000 bytes, and another one leaves in the middle")
+def step_whole_and_left(context):
+    headers = {"X-Answer-Bytes": "300000"}
+    url = f"{context.fleet.url(0)}/stock/x"
+    request = urllib.request.Request(url, headers=headers)
+    with urllib.request.urlopen(request, timeout=10) as response:
+        assert len(response.read()) == 300_000
+    wait_counts(context, [1, 0, 0])
+    ask_for(context.fleet, 50_000_000).close()
+    wait_counts(context, [1, 0, 1])
+
+
+@when("report: the target is killed in the middle of a long answer")
+def step_cut(context):
+    # More than the sockets on the way can hold, so that a part is still to come.
+    caller = ask_for(context.fleet, 50_000_000)
+    context.stack.callback(caller.close)
+    context.fleet.targets["pedidos-01"].kill()
+    try:
+        while caller.recv(1 << 20):
+            pass
+    except ConnectionResetError:
+        pass
+
+
+@then("report: 1 request is good, 1 is bad, 1 is not counted")
+def step_counted(context):
+    wait_counts(context, [1, 1, 1])
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -11,7 +11,6 @@
 import click
 import orjson
 import uvloop
-from aioprometheus import render
 from eliot import add_destinations, remove_destination
 
 from . import events
@@ -29,6 +28,7 @@
 from .logs import log_file
 from .metrics import Metrics
 from .operator.burn import BurnLedger
+from .operator.exposition import metrics_page
 from .operator.gauges import refresh
 from .operator.hostreport import host_report
 from .operator.incidents import IncidentLog
@@ -342,22 +342,22 @@
             "services": sorted(self.serving.entries),
         }
 
-    def report(self):
+    async def report(self):
         """Return this host's part of the burn report."""
-        return host_report(
+        return await host_report(
             self.identity, self.serving, self.burn, self.incidents, self.clock
         )
 
-    def render_metrics(self, accept):
-        """Return the metrics page and its headers."""
-        refresh(
+    async def render_metrics(self):
+        """Return the metrics page."""
+        await refresh(
             self.metrics,
             self.serving,
             self.burn,
             self.claim_table,
             self.configuration.store_down,
         )
-        return render(self.metrics.registry, accept)
+        return await metrics_page(self.metrics.registry)
 
     async def run(self):
         """Serve until a stop is requested, then drain."""
--- a/oleanderroute/operator/burn.py
+++ b/oleanderroute/operator/burn.py
@@ -1,6 +1,7 @@
 """Counts good and bad requests and their latencies for the burn report."""
 
 from bisect import bisect_left
+from dataclasses import dataclass
 from functools import partial
 
 from ..metrics import LATENCY_BUCKETS_S
@@ -179,6 +180,15 @@
     return Spender(spender.kind, OTHER, "", OTHER)
 
 
+@dataclass(frozen=True, slots=True)
+class ClassDocument:
+    """The counts of one service and request class as a JSON value."""
+
+    service_name: str
+    class_name: str
+    counts: dict
+
+
 class BurnLedger:
     """Requests of this host by service, class and cause.
 
@@ -258,17 +268,17 @@
             if key[0] not in services:
                 del self.classes[key]
 
-    def document(self):
-        """Return the counts as a JSON value: service name to class name to counts."""
-        now = self.clock.now()
-        wall_offset = self.clock.wall() - now
-        services = {}
-        for (name, request_class), burn in self.classes.items():
+    def documents(self):
+        """Yield a ``ClassDocument`` for each service and class.
+
+        Each takes 0.2 ms or more, so the caller lets requests run in between.
+        """
+        for (name, request_class), burn in list(self.classes.items()):
+            now = self.clock.now()
             burn.follow_time(now)
             burn.flush()
-            classes = services.setdefault(name, {})
-            classes[request_class.name.lower()] = class_document(burn, now, wall_offset)
-        return services
+            counts = class_document(burn, now, self.clock.wall() - now)
+            yield ClassDocument(name, request_class.name.lower(), counts)
 
 
 def class_document(burn, now, wall_offset):
--- a/oleanderroute/operator/gauges.py
+++ b/oleanderroute/operator/gauges.py
@@ -3,14 +3,17 @@
 Reading them only then costs a request nothing.
 """
 
+import asyncio
+
 from aioprometheus.histogram import Histogram
+from aioprometheus.metricdict import MetricDict
 
 from ..decisions.verdict import TargetState
 from ..metrics import LATENCY_BUCKETS_S
 
 
-def refresh(metrics, serving, burn, claim_table, store_down):
-    """Bring the state-derived metrics up to date.
+async def refresh(metrics, serving, burn, claim_table, store_down):
+    """Bring the state-derived metrics up to date, one service in each step.
 
     Parameters
     ----------
@@ -21,27 +24,26 @@
     store_down : bool
         Whether this host waits for the key-value service; only relays call it.
     """
-    # A service that is not declared any more must not keep its last value.
+    # A service that is not declared any more must not keep its last value. Clearing
+    # a MetricDict takes 10 us an entry, so it gets a new one.
     for gauge in (
         metrics.queued,
         metrics.ejected_targets,
         metrics.targets,
         metrics.objective,
     ):
-        gauge.values.clear()
-    for name, entry in serving.entries.items():
+        gauge.values = MetricDict()
+    for name, entry in list(serving.entries.items()):
         refresh_service(metrics, name, entry)
+        await asyncio.sleep(0)
     metrics.claims_held.set({}, len(claim_table.claims))
     metrics.store_available.set({}, 0 if store_down else 1)
     for collector in (metrics.request_seconds, metrics.objective_requests):
-        collector.values.clear()
-    for (name, request_class), counts in burn.classes.items():
+        collector.values = MetricDict()
+    for (name, request_class), counts in list(burn.classes.items()):
         labels = {"service": name, "class": request_class.name.lower()}
-        metrics.request_seconds.set_value(labels, histogram_of(counts.latency))
-        good = {**labels, "result": "good"}
-        bad = {**labels, "result": "bad"}
-        metrics.objective_requests.set(good, counts.good_total)
-        metrics.objective_requests.set(bad, counts.bad_total)
+        refresh_class(metrics, labels, counts)
+        await asyncio.sleep(0)
 
 
 def refresh_service(metrics, name, entry):
@@ -57,6 +59,15 @@
     metrics.objective.set(labels, entry.service.objective.success_share)
 
 
+def refresh_class(metrics, labels, counts):
+    """Set the counters of one service and request class."""
+    metrics.request_seconds.set_value(labels, histogram_of(counts.latency))
+    good = {**labels, "result": "good"}
+    bad = {**labels, "result": "bad"}
+    metrics.objective_requests.set(good, counts.good_total)
+    metrics.objective_requests.set(bad, counts.bad_total)
+
+
 def histogram_of(latency):
     """Return the Prometheus histogram of a ``LatencyRecord``."""
     histogram = Histogram(*LATENCY_BUCKETS_S)
--- a/oleanderroute/operator/hostreport.py
+++ b/oleanderroute/operator/hostreport.py
@@ -1,9 +1,11 @@
 """One host's part of the burn report, as a JSON value."""
 
+import asyncio
+
 FORMAT_VERSION = 1
 
 
-def host_report(identity, serving, burn, incidents, clock):
+async def host_report(identity, serving, burn, incidents, clock):
     """Return what this host knows; its counts begin with its own start.
 
     Parameters
@@ -20,17 +22,12 @@
     """
     now_unix_s = clock.wall()
     services = {}
-    counted = burn.document()
     for name, entry in serving.entries.items():
-        objective = entry.service.objective
-        services[name] = {
-            "objective": {
-                "success_share": objective.success_share,
-                "latency_ms": objective.latency_ms,
-                "window_days": objective.window_days,
-            },
-            "classes": counted.get(name, {}),
-        }
+        services[name] = service_document(entry.service.objective)
+    for one in burn.documents():
+        if one.service_name in services:
+            services[one.service_name]["classes"][one.class_name] = one.counts
+        await asyncio.sleep(0)
     return {
         "format": FORMAT_VERSION,
         "host_id": identity.host_id,
@@ -43,3 +40,15 @@
         "incidents": incidents.document(),
         "incidents_dropped": incidents.dropped,
     }
+
+
+def service_document(objective):
+    """Return the JSON value of a service without any request."""
+    return {
+        "objective": {
+            "success_share": objective.success_share,
+            "latency_ms": objective.latency_ms,
+            "window_days": objective.window_days,
+        },
+        "classes": {},
+    }
--- a/oleanderroute/operator/resources.py
+++ b/oleanderroute/operator/resources.py
@@ -1,10 +1,13 @@
 """HTTP resources of the operator port."""
 
+import asyncio
 from dataclasses import asdict
 
 import falcon
 import orjson
 
+from .exposition import page_headers
+
 
 class Liveness:
     """``GET /live``: 200 while the event loop runs."""
@@ -80,22 +83,23 @@
 
     async def on_get(self, request, response):
         """Answer with the counts, latencies, spenders and incidents."""
-        response.data = to_json(self.daemon.report())
+        response.data = to_json(await self.daemon.report())
         response.content_type = falcon.MEDIA_JSON
 
 
 class Metrics:
-    """``GET /metrics``: Prometheus exposition format."""
+    """``GET /metrics``: Prometheus' text format, which every scraper accepts."""
 
     def __init__(self, daemon):
         self.daemon = daemon
+        # Two scrapers at once would clear each other's gauges.
+        self.lock = asyncio.Lock()
 
     async def on_get(self, request, response):
-        """Answer in the format that the scraper accepts."""
-        accept = request.headers.get("ACCEPT", "")
-        content, headers = self.daemon.render_metrics([accept])
-        response.data = content
-        for name, value in headers.items():
+        """Answer with the page."""
+        async with self.lock:
+            response.data = await self.daemon.render_metrics()
+        for name, value in page_headers().items():
             response.set_header(name, value)
 
 
