--- a/features/support/promise_fleet.py
+++ b/features/support/promise_fleet.py
@@ -11,7 +11,7 @@
 from bench.routes import route
 from features.support.processes import LOOPBACK
 from oleanderroute.decisions.fingerprint import claim_key
-from oleanderroute.decisions.holder_view import rank_distinct_domains
+from oleanderroute.decisions.holder_ranking import rank_distinct_domains
 
 WORKSPACE = "papelitos"
 HOLDERS = 3
@@ -105,7 +105,7 @@
 
     def holders(self, service, key):
         """Return the ids of the claim holders of a key."""
-        full_key = claim_key(WORKSPACE, f"{service}-order", key)
+        full_key = claim_key(WORKSPACE, f"POST /{service}/orders", key)
         return set(rank_distinct_domains(full_key, self.hosts, HOLDERS))
 
     def runs(self, load_id):
