--- a/oleanderroute/decisions/condition.py
+++ b/oleanderroute/decisions/condition.py
@@ -7,8 +7,8 @@
 from .verdict import Restraint, Signal, TargetState
 
 # Hysteresis: evidence in nats to doubt, to eject, and to clear a target.
-# With 15 nats to eject, the loud noise of bench/detection_trial.py gave a false ejection
-# in 78 host-hours and no faster detection of full failures; with 18 it gave none.
+# With 15 nats to eject, the loud noise of bench/detection_trial.py gave a false
+# ejection in 78 host-hours and no faster detection of full failures; with 18, none.
 DOUBT_EVIDENCE = 9.0
 EJECT_EVIDENCE = 18.0
 CLEAR_EVIDENCE = 3.0
