--- a/features/support/promise_fleet.py
+++ b/features/support/promise_fleet.py
@@ -4,6 +4,7 @@
 daemons, so that the same scenario shows what happens without the product.
 """
 
+import json
 import random
 import uuid
 
@@ -64,9 +65,20 @@
         self.spoiled = set()
         self.rng = random.Random(SEED)
 
+    def ledger_path(self, target_id):
+        """Return the file in which a target records its runs."""
+        return self.group.directory / f"{target_id}.ledger"
+
     def target_options(self, target_id, plan):
-        path = self.group.directory / f"{target_id}.ledger"
-        return ["--ledger-file", path, *plan.options]
+        return ["--ledger-file", self.ledger_path(target_id), *plan.options]
+
+    def ledger(self, target_id):
+        """Return the recorded runs of a target, also of a killed or frozen one."""
+        rows = {}
+        for line in self.ledger_path(target_id).read_text().splitlines():
+            row = json.loads(line)
+            rows[row["number"]] = row
+        return list(rows.values())
 
     def host(self, host_id):
         """Return the plan of a host by its id."""
@@ -112,7 +124,7 @@
         """Return the runs of a request in the ledgers of all targets."""
         rows = []
         for target_id in self.targets:
-            for row in self.ledger(target_id) or ():
+            for row in self.ledger(target_id):
                 if row["load_id"] == load_id:
                     rows.append(row)
         return rows
