End the retries of a request that is refused as crash-causing

An idempotent request that broke its target was retried by its own entry up to three times, although the fingerprint is refused after the second death.

--- a/oleanderroute/entry/attempts.py
+++ b/oleanderroute/entry/attempts.py
@@ -249,6 +249,11 @@
         if context.may_have_run and not context.is_idempotent:
             return False
         now = self.clock.now()
+        if kind is AttemptKind.BROKEN and self.crashes.is_refused(
+            context.crash_fingerprint()
+        ):
+            # This request may have caused the death; it must not take a third target.
+            return False
         was_shed = kind is AttemptKind.REFUSED_NOT_STARTED
         if was_shed:
             context.shed_count += 1
--- a/oleanderroute/tasks/crashreports.py
+++ b/oleanderroute/tasks/crashreports.py
@@ -47,6 +47,10 @@
         notice = CrashNotice(service_name, fingerprint, [target_id])
         self.start(self.send(self.topology.crash_counter_of(fingerprint), notice))
 
+    def is_refused(self, fingerprint):
+        """Tell whether requests with a fingerprint must not run any more."""
+        return self.quarantine.is_refused(fingerprint, self.clock.now())
+
     def receive(self, notice, header):
         """Absorb a notice; announce the fingerprint if it is now refused."""
         now = self.clock.now()
