--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -1,7 +1,6 @@
 """The daemon ``oleanderrouted``: one per entry host."""
 
 import asyncio
-import gc
 import random
 import secrets
 import signal
@@ -20,6 +19,7 @@
 from .entry.app import CallerApplication
 from .entry.attempts import AttemptRunner
 from .entry.caller_protocol import CallerLimits
+from .entry.collector import tune_collector
 from .entry.pipeline import Pipeline
 from .entry.server import CallerServer
 from .entry.target_pool import TargetPool
@@ -62,9 +62,6 @@
 
 EXIT_SETTINGS = 2
 INCARNATION_BITS = 48
-# Collections of young objects cost a request up to a millisecond at the default
-# threshold of 700 allocations.
-GC_THRESHOLDS = (50_000, 20, 50)
 
 
 class Daemon:
@@ -377,8 +374,7 @@
             self.start_tasks(stack)
             await self.caller_server.start()
             stack.push_async_callback(self.caller_server.finish, 0.0)
-            gc.collect()
-            gc.freeze()
+            tune_collector()
             events.DAEMON_STARTED.log(
                 host=self.identity.host_id, caller_port=self.caller_server.port
             )
@@ -455,7 +451,6 @@
 
 async def serve(settings):
     """Run one daemon until it is told to stop."""
-    gc.set_threshold(*GC_THRESHOLDS)
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/oleanderroute/entry/pipeline.py
+++ b/oleanderroute/entry/pipeline.py
@@ -22,7 +22,11 @@
 WORKSPACE_HEADER = b"oleander-workspace"
 DEADLINE_HEADER = b"oleander-deadline-ms"
 RECORDED_REASON = "recorded"
-# The two answers of a claim round that a holder's own clock or table caused.
+CALLER_HEADERS = {
+    KEY_HEADER: "key",
+    WORKSPACE_HEADER: "workspace",
+    DEADLINE_HEADER: "deadline_ms",
+}
 CLAIM_REFUSALS = {
     DecisionKind.HELD: RefusalReason.CLAIM_HELD,
     DecisionKind.KEY_REUSED: RefusalReason.KEY_REUSED,
@@ -54,18 +58,19 @@
     key: str | None = None
     workspace: str | None = None
     deadline_ms: str | None = None
+    has_duplicate: bool = False
 
 
 def read_caller_headers(headers):
     """Pick the headers that steer the pipeline."""
     found = CallerHeaders()
     for name, value in headers:
-        if name == KEY_HEADER:
-            found.key = value.decode("latin-1")
-        elif name == WORKSPACE_HEADER:
-            found.workspace = value.decode("latin-1")
-        elif name == DEADLINE_HEADER:
-            found.deadline_ms = value.decode("latin-1")
+        field = CALLER_HEADERS.get(name)
+        if field is None:
+            continue
+        if getattr(found, field) is not None:
+            found.has_duplicate = True
+        setattr(found, field, value.decode("latin-1"))
     return found
 
 
@@ -126,6 +131,9 @@
         if view is None:
             return self.refuse_early(request, RefusalReason.NOT_CONFIGURED)
         headers = read_caller_headers(request.headers)
+        if headers.has_duplicate:
+            # Which of two keys names the order can't be told.
+            return self.refuse_early(request, RefusalReason.DUPLICATE_HEADER)
         match = view.routes.match(request.method, request.path, headers.workspace)
         route = match.route
         if route is None:
--- a/oleanderroute/entry/refusals.py
+++ b/oleanderroute/entry/refusals.py
@@ -19,6 +19,7 @@
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
     BAD_DEADLINE = "bad-deadline"
+    DUPLICATE_HEADER = "duplicate-header"
     NOT_CONFIGURED = "not-configured"
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline-too-short"
@@ -45,6 +46,7 @@
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.BODY_INCOMPLETE: 400,
     RefusalReason.BAD_DEADLINE: 400,
+    RefusalReason.DUPLICATE_HEADER: 400,
     RefusalReason.CLAIM_HELD: 409,
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.KEY_TOO_OLD: 409,
