--- a/features/promises_configuration.feature
+++ b/features/promises_configuration.feature
@@ -9,17 +9,23 @@
     And the promises_configuration change is in force on all hosts within 12 s
     And no promises_configuration host moved back
 
-  Scenario Outline: The answers of <count> store writes are lost
+  Scenario Outline: Answers of the store are lost (<count>, <key>)
     Given the promises_configuration fleet
-    When the answers of <count> promises_configuration store writes are lost
+    When <count> promises_configuration answers to writes of "<key>" are lost
     Then the promises_configuration history shows the change once
     And the promises_configuration change is in force on all hosts within 12 s
 
-    # The chunks are written first, the head after them.
     Examples:
-      | count |
-      | 1     |
-      | 4     |
+      | count | key     |
+      | 1     | head    |
+      | 2     | head    |
+      | 3     | any key |
+
+  Scenario: The store shows an older head again
+    Given the promises_configuration fleet
+    When the promises_configuration store shows an older head again
+    Then the promises_configuration change is in force on all hosts within 12 s
+    And no promises_configuration host moved back
 
   Scenario: The platform is down for a while
     Given the promises_configuration fleet
--- a/features/promises_once.feature
+++ b/features/promises_once.feature
@@ -8,6 +8,12 @@
     Then the promises_once audit finds 0 duplicates and 0 false not-run
     And the promises_once answers were whole and the callers' own
 
+  Scenario: The holders that the faults meet are those of the order
+    Given the promises_once fleet
+    When a promises_once order is resent after its end
+    Then the promises_once order ran at most once and nobody was wrongly told not-run
+    And the promises_once claim was with the chosen holders
+
   Scenario Outline: An order is resent <fault>
     Given the promises_once fleet
     When a promises_once order is resent <fault>
--- a/features/steps/promises_configuration_steps.py
+++ b/features/steps/promises_configuration_steps.py
@@ -21,6 +21,8 @@
 POLL_S = 0.1
 POLL_TIMEOUT_S = 0.5
 WATCH_AFTER_S = 1.5
+RACE_DELAY_S = 0.4
+HEAD_KEY = "head"
 UNREACHABLE_URL = "http://127.0.0.1:9"
 
 
@@ -121,9 +123,12 @@
 @when("two promises_configuration operators race")
 def step_race(context):
     names = ("racer-a", "racer-b")
+    # Both have read the head before either of them writes it.
+    context.fleet.set_platform_faults(mode="slow", delay_s=RACE_DELAY_S, scope="store")
     processes = [start_apply(context, name) for name in names]
     outputs = [finish_apply(context, process) for process in processes]
     context.race = dict(zip(names, zip(processes, outputs, strict=True), strict=True))
+    context.fleet.set_platform_faults(mode="ok")
     for name, (process, _) in context.race.items():
         if process.returncode == 0:
             context.applied = name
@@ -168,10 +173,38 @@
     assert not reverted, reverted
 
 
-@when("the answers of {count:d} promises_configuration store writes are lost")
-def step_lost_answers(context, count):
-    context.fleet.set_platform_faults(mode="lose_answers", count=count, scope="store")
-    apply_change(context, f"lost-{count}")
+@when('{count:d} promises_configuration answers to writes of "{key}" are lost')
+def step_lost_answers(context, count, key):
+    key = "" if key == "any key" else key
+    context.fleet.set_platform_faults(
+        mode="lose_answers", count=count, scope="store", key=key
+    )
+    apply_change(context, f"lost-{count}-{key}")
+
+
+def head(fleet):
+    """Return the stored head as the store shows it."""
+    return get_json(f"{fleet.platform_url}/kv/{HEAD_KEY}")
+
+
+def put_head(fleet, value):
+    body = {"value": value, "expect_version": None, "lease": None}
+    answer = call(fleet.platform.port, "PUT", f"/kv/{HEAD_KEY}", body)
+    assert answer.status == 200, answer
+
+
+@when("the promises_configuration store shows an older head again")
+def step_older_head(context):
+    fleet = context.fleet
+    older = head(fleet)["value"]
+    apply_change(context, "before-older-head")
+    step_in_force(context)
+    newest = head(fleet)["value"]
+    put_head(fleet, older)
+    context.stack.callback(put_head, fleet, newest)
+    time.sleep(WATCH_AFTER_S)
+    # It learns the newest revision from its peers.
+    start_fresh_host(context, "b")
 
 
 @then("the promises_configuration history shows the change once")
--- a/features/steps/promises_once_steps.py
+++ b/features/steps/promises_once_steps.py
@@ -189,6 +189,11 @@
     assert not wrong, wrong
 
 
+@then("the promises_once claim was with the chosen holders")
+def step_holders(context):
+    context.case.check_holders()
+
+
 @then("the promises_once resends were told {expected}")
 def step_told(context, expected):
     assert context.resends == expected.split(), context.resends
--- a/features/support/order_case.py
+++ b/features/support/order_case.py
@@ -65,6 +65,17 @@
         self.others = rest[1:3]
         holder_ids = {host.host_id for host in self.holders}
         self.key = fleet.new_key(service, holder_ids)
+        self.claims_before = [fleet.status(host)["claims"] for host in self.holders]
+
+    def check_holders(self):
+        """Check that the chosen holders are those that hold this order's claim.
+
+        Without it, a change of the ranking would leave the faults of holders
+        without any effect on the order.
+        """
+        for host, before in zip(self.holders, self.claims_before, strict=True):
+            claims = self.fleet.status(host)["claims"]
+            assert claims == before + 1, f"{host.host_id}: {before}, then {claims}"
 
     def send(self, host, work_ms=20, deadline_ms=DEADLINE_MS):
         """Send the order to a host without waiting for the answer."""
--- a/features/support/promise_fleet.py
+++ b/features/support/promise_fleet.py
@@ -205,7 +205,7 @@
 
     def status(self, host):
         """Relays have no operator port."""
-        return {"revision": 0, "ready": True, "votes_on_claims": True}
+        return {"revision": 0, "ready": True, "votes_on_claims": True, "claims": 0}
 
     def explain(self, host, service):
         """Relays don't tell what they think of targets."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -79,7 +79,7 @@
         response = await handler(request)
         if self.is_down(part):
             return self.refuse(request)
-        if request.method != "GET" and self.faults.takes_answer(part):
+        if request.method != "GET" and self.faults.takes_answer(part, request.path):
             return self.drop_connection(request)
         return response
 
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -187,6 +187,9 @@
         ``close`` or ``503``: what a call meets in mode ``down``.
     scope : str
         ``all``, ``store`` (keys and leases) or ``hosts``.
+    key : str
+        In mode ``lose_answers``, the only key whose writes lose their answers; empty
+        for all writes.
     """
 
     mode: str = "ok"
@@ -194,15 +197,18 @@
     count: int = 1
     answer: str = "close"
     scope: str = "all"
+    key: str = ""
 
     def applies_to(self, part):
         """Tell whether ``part`` (``store`` or ``hosts``) is affected."""
         return self.mode != "ok" and self.scope in ("all", part)
 
-    def takes_answer(self, part):
-        """Tell whether the answer of a write is lost, and count it."""
+    def takes_answer(self, part, path):
+        """Tell whether the answer of a write to ``path`` is lost, and count it."""
         if self.mode != "lose_answers" or not self.applies_to(part):
             return False
+        if self.key and path != f"/kv/{self.key}":
+            return False
         self.count -= 1
         if self.count <= 0:
             self.mode = "ok"
