--- a/bench/compare_measures.py
+++ b/bench/compare_measures.py
@@ -103,6 +103,9 @@
         found += run_faults(fleet, plan, targets, number)
     reports = [load_report(load) for load in loads]
     details = {"send_lag_p99_ms": [send_lag(report) for report in reports]}
+    # Shows that ejections are found in the logs, so that none elsewhere means none.
+    for service in PATHS:
+        details[f"{service} ejections"] = version.ejections(service, begin, time.time())
     for one in found:
         shown = round(one.seconds, 2) if one.is_detected else "not detected"
         details[f"{one.service} {one.mode} {one.target_id}"] = shown
