--- a/features/run.py
+++ b/features/run.py
@@ -80,6 +80,7 @@
             continue
         failed += 1
         print(f"failed: {scenario.name} ({scenario.location})")
+        print_errors(scenario)
     if behave_code != 0 and failed == 0 and expected_red == 0:
         print("behave failed outside the scenarios")
         failed += 1
@@ -90,6 +91,13 @@
     return 1 if failed else 0
 
 
+def print_errors(scenario):
+    """Print why the steps of a failed scenario failed."""
+    for step in scenario.all_steps:
+        if step.error_message:
+            print(f"  {step.name}: {step.error_message}")
+
+
 if __name__ == "__main__":
     # behave resolves the formatter by module name, which must be this module.
     from features.run import main as run_main
