--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -561,8 +561,9 @@
         return error.code
 
 
-def fleet_report(fleet):
-    result = fleet.oleanderctl("report", "--json", "--store", fleet.platform_url)
+def fleet_report(fleet, *options):
+    options += ("--json", "--store", fleet.platform_url)
+    result = fleet.oleanderctl("report", *options)
     return result, json.loads(result.stdout)
 
 
@@ -609,7 +610,14 @@
     )
     found = [spender[field] for field in Spender._fields]
     assert found == list(expected), spender
-    context.document = document
+    result, narrowed = fleet_report(context.fleet, "--service", "pedidos")
+    assert result.returncode == 0, result.stderr
+    # Times are figured from two clocks and differ by microseconds; counts do not.
+    (same,) = narrowed["services"]
+    for field in ("name", "objective", "windows", "spenders"):
+        assert same[field] == service[field], (field, same[field])
+    result, _ = fleet_report(context.fleet, "--service", "absent")
+    assert result.returncode == 3 and "status 404" in result.stdout
 
 
 @then("report: the incidents hold its ejection with the reason that explain prints")
--- a/oleanderroute/commands/report.py
+++ b/oleanderroute/commands/report.py
@@ -7,7 +7,7 @@
 
 import click
 
-from ..operator.fleetreport import HostState, merge
+from ..operator.fleetreport import FleetSum, HostState
 from ..operator.hostpart import read_part
 from .asking import (
     fail_for_silent,
@@ -26,6 +26,7 @@
 @host_list_option
 @timeout_option
 @json_option
+@click.option("--service", default=None, help="Only this service's figures.")
 @click.option(
     "--html",
     "html_path",
@@ -33,7 +34,7 @@
     metavar="FILE",
     help="Also write the report as one self-contained page with plots.",
 )
-def report(hosts, store_url, timeout_s, as_json, html_path):
+def report(hosts, store_url, timeout_s, as_json, service, html_path):
     """Show how much of each service's error budget is spent, and by whom.
 
     Asks the hosts given with --host, or all on the platform's list (--store), for
@@ -41,7 +42,9 @@
     Exits with 3 if a host does not answer; the others' parts are shown all the same.
     """
     output = Output(as_json)
-    answers = asyncio.run(find_and_ask(hosts, store_url, "/report", {}, timeout_s))
+    query = {} if service is None else {"service": service}
+    asked = find_and_ask(hosts, store_url, "/report", query, timeout_s)
+    answers = asyncio.run(asked)
     merged = merge_answers(answers, time.time())
     output.result(asdict(merged), report_lines(merged))
     if html_path is not None:
@@ -58,22 +61,20 @@
     answers : list of HostAnswer
     now_unix_s : float
     """
-    states = []
-    parts = []
+    fleet = FleetSum(now_unix_s)
     for answer in answers:
         if answer.error is not None:
             error = f"no answer: {answer.error}"
-            states.append(HostState(answer.host, answer.host_id, error=error))
+            fleet.add(HostState(answer.host, answer.host_id, error=error))
             continue
         result = read_part(answer.document)
         if result.is_err():
             error = str(result.unwrap_err())
-            states.append(HostState(answer.host, answer.host_id, error=error))
+            fleet.add(HostState(answer.host, answer.host_id, error=error))
             continue
         part = result.unwrap()
-        parts.append(part)
-        states.append(state_of(answer.host, part))
-    return merge(states, parts, now_unix_s)
+        fleet.add(state_of(answer.host, part), part)
+    return fleet.finish()
 
 
 def state_of(address, part):
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -342,10 +342,10 @@
             "services": sorted(self.serving.entries),
         }
 
-    async def report(self):
-        """Return this host's part of the burn report."""
+    async def report(self, service=None):
+        """Return this host's part of the burn report, of one service or all."""
         return await host_report(
-            self.identity, self.serving, self.burn, self.incidents, self.clock
+            self.identity, self.serving, self.burn, self.incidents, self.clock, service
         )
 
     async def render_metrics(self):
--- a/oleanderroute/operator/burn.py
+++ b/oleanderroute/operator/burn.py
@@ -268,12 +268,14 @@
             if key[0] not in services:
                 del self.classes[key]
 
-    def documents(self):
-        """Yield a ``ClassDocument`` for each service and class.
+    def documents(self, service_name=None):
+        """Yield a ``ClassDocument`` for each class of one service, or of all.
 
         Each takes 0.2 ms or more, so the caller lets requests run in between.
         """
         for (name, request_class), burn in list(self.classes.items()):
+            if service_name is not None and name != service_name:
+                continue
             now = self.clock.now()
             burn.follow_time(now)
             burn.flush()
--- a/oleanderroute/operator/fleetreport.py
+++ b/oleanderroute/operator/fleetreport.py
@@ -243,33 +243,45 @@
         return ClassFigures(windows, self.excluded, latency)
 
 
-def merge(states, parts, now_unix_s):
-    """Merge the parts of the hosts that answered.
+class FleetSum:
+    """Adds up the parts of all hosts; a part can be dropped once it is added.
 
     Parameters
     ----------
-    states : list of HostState
-        Every host that was asked.
-    parts : list of HostPart
     now_unix_s : float
-
-    Returns
-    -------
-    FleetReport
     """
-    report = FleetReport(now_unix_s, list(states))
-    sums = {}
-    for part in parts:
+
+    def __init__(self, now_unix_s):
+        self.report = FleetReport(now_unix_s, [])
+        self.services = {}
+        self.earliest = now_unix_s
+
+    def add(self, state, part=None):
+        """Add one host.
+
+        Parameters
+        ----------
+        state : HostState
+        part : HostPart or None
+            None when the host did not answer.
+        """
+        self.report.hosts.append(state)
+        if part is None:
+            return
         for name, service_part in part.services.items():
-            sums.setdefault(name, ServiceSum(name)).add(part, service_part)
-        report.incidents += part.incidents
-    report.incidents.sort(key=lambda one: (one.at_unix_s, one.host_id))
-    earliest = min((part.since_unix_s for part in parts), default=now_unix_s)
-    known_s = max(0.0, now_unix_s - earliest)
-    for name in sorted(sums):
-        report.services.append(sums[name].figures(known_s))
-    report.services.sort(key=budget_order)
-    return report
+            self.services.setdefault(name, ServiceSum(name)).add(part, service_part)
+        self.report.incidents += part.incidents
+        self.earliest = min(self.earliest, part.since_unix_s)
+
+    def finish(self):
+        """Return the ``FleetReport``."""
+        report = self.report
+        report.incidents.sort(key=lambda one: (one.at_unix_s, one.host_id))
+        known_s = report.generated_unix_s - self.earliest
+        for name in sorted(self.services):
+            report.services.append(self.services[name].figures(known_s))
+        report.services.sort(key=budget_order)
+        return report
 
 
 def budget_order(service):
--- a/oleanderroute/operator/hostreport.py
+++ b/oleanderroute/operator/hostreport.py
@@ -5,7 +5,7 @@
 FORMAT_VERSION = 1
 
 
-async def host_report(identity, serving, burn, incidents, clock):
+async def host_report(identity, serving, burn, incidents, clock, service=None):
     """Return what this host knows; its counts begin with its own start.
 
     Parameters
@@ -15,6 +15,8 @@
     burn : BurnLedger
     incidents : IncidentLog
     clock : Clock
+    service : ServiceName or None
+        Only this service's counts; the incidents are those of the host.
 
     Returns
     -------
@@ -23,8 +25,10 @@
     now_unix_s = clock.wall()
     services = {}
     for name, entry in serving.entries.items():
+        if service is not None and name != service:
+            continue
         services[name] = service_document(entry.service.objective)
-    for one in burn.documents():
+    for one in burn.documents(service):
         if one.service_name in services:
             services[one.service_name]["classes"][one.class_name] = one.counts
         await asyncio.sleep(0)
--- a/oleanderroute/operator/resources.py
+++ b/oleanderroute/operator/resources.py
@@ -76,14 +76,17 @@
 
 
 class Report:
-    """``GET /report``: this host's part of the burn report."""
+    """``GET /report?service=``: this host's part of the burn report."""
 
     def __init__(self, daemon):
         self.daemon = daemon
 
     async def on_get(self, request, response):
         """Answer with the counts, latencies, spenders and incidents."""
-        response.data = to_json(await self.daemon.report())
+        service = request.get_param("service")
+        if service is not None and service not in self.daemon.serving.entries:
+            raise falcon.HTTPNotFound(title=f"no service {service}")
+        response.data = to_json(await self.daemon.report(service))
         response.content_type = falcon.MEDIA_JSON
 
 
