Leave unchanged services out of verdict replies; report failures alone

Cause: a reply named each of its services without a change in 21.5 bytes, most of an aggregator's bytes. One failure made a host report all its services, by the formulas 21 KB. For each quiet service of a report the aggregator visited all targets of the service. An urgent report holds the services with failures only.

The protocol version is 3, since entries of version 2 expect an answer for each service; aggregators still give it to them. The versions in peer.feature follow: they are the neighbours of the current one. Evaluation gives requests a turn after each pool.

--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -17,7 +17,7 @@
     poll_load,
     relay_load,
     scrape_load,
-    shard_owners,
+    service_owners,
 )
 
 PROCESSOR_BOUND_MS = 13.0
@@ -93,9 +93,10 @@
     return found
 
 
-def worst_shards(fleet):
-    """Return the most shards of one host in any failure domain."""
-    return max(most(shard_owners(ids)) for ids in fleet.hosts_by_domain.values())
+def worst_services(fleet):
+    """Return the most services that one host aggregates in any failure domain."""
+    domains = fleet.hosts_by_domain.values()
+    return max(most(service_owners(fleet, ids)) for ids in domains)
 
 
 def roles(fleet, costs, list_ms):
@@ -122,14 +123,14 @@
         (
             "every host: news",
             "tasks/configuration.py, tasks/hosts.py",
-            "manifest *; declaration change; host list change; aggregator ranks",
+            "manifest *; declaration change; host list change; shard owners",
             poll_load(fleet, costs),
         ),
         (
             "aggregator, worst host",
             "tasks/aggregator.py",
             "report, *; verdict delta, *; detection *; target in a pool",
-            aggregator_load(fleet, costs, worst_shards(fleet)),
+            aggregator_load(fleet, costs, worst_services(fleet)),
         ),
         (
             "relay: platform",
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -6,7 +6,9 @@
 
 from oleanderroute.decisions.claims import HolderView, RankedHost
 from oleanderroute.decisions.ranking import rank
+from oleanderroute.decisions.shards import ShardOwners
 from oleanderroute.decisions.slots import RENEWAL_PERIOD_S
+from oleanderroute.tasks.aggregator import QUIET_PERIOD_S
 from oleanderroute.tasks.configuration import POLL_PERIOD_S
 from oleanderroute.tasks.hosts import RELAY_POLL_PERIOD_S
 from oleanderroute.tasks.reporter import (
@@ -17,12 +19,11 @@
     SHORTEST_PERIOD_S,
     SUMMARY_BYTES,
 )
-from oleanderroute.topology import SHARDS_PER_DOMAIN
+from oleanderroute.topology import SHARDS_PER_DOMAIN, shard_of
 
 from .slopes_documents import DOMAINS, REGIONS
 
 DAY_S = 86_400.0
-EVALUATIONS_PER_S = 4.0
 # Both tasks shorten their pause at random by up to a fifth.
 MEAN_PAUSE_SHARE = 0.9
 # Request and empty answer of the host list's poll, with HTTP headers.
@@ -170,13 +171,21 @@
 
 def shard_owners(ids):
     """Return the first-ranked host of each shard of a domain."""
-    return [rank(f"aggregator/{n}", ids)[0] for n in range(SHARDS_PER_DOMAIN)]
+    owners = ShardOwners("aggregator", SHARDS_PER_DOMAIN)
+    owners.update(ids)
+    return owners.owners
+
+
+def service_owners(fleet, ids):
+    """Return the aggregator of each service in one domain."""
+    owners = shard_owners(ids)
+    return [owners[shard_of(f"service-{n}")] for n in range(fleet.services)]
 
 
 def reports_of(fleet):
     """Return the ``Reports`` of one host; the period follows its own content."""
-    owners = shard_owners(next(iter(fleet.hosts_by_domain.values())))
-    messages = min(len(set(owners)), fleet.services)
+    ids = next(iter(fleet.hosts_by_domain.values()))
+    messages = len(set(service_owners(fleet, ids)))
     active = fleet.services * (1 - math.exp(-fleet.service_rate * QUIET_AFTER_S))
     period_s = LONGEST_PERIOD_S
     for _ in range(50):
@@ -201,15 +210,11 @@
         - costs.of("report, latency of a summary: bytes")
     )
     sent += reports.latencies * costs.of("report, latency of a summary: bytes")
-    received = reports.messages * costs.header_bytes + reports.services * costs.of(
-        "verdict delta, service without change: bytes"
-    )
+    # Replies leave out services without a change.
+    received = reports.messages * costs.header_bytes
     spent_us = reports.messages * costs.side_us
     spent_us += reports.services * costs.of("report, quiet service: encode")
     spent_us += reports.summaries * costs.of("report, summary: encode")
-    spent_us += reports.services * costs.of(
-        "verdict delta, service without change: decode"
-    )
     load = Load(
         sent / reports.period_s * elsewhere,
         received / reports.period_s * elsewhere,
@@ -224,33 +229,32 @@
     return load
 
 
-def aggregator_load(fleet, costs, shards):
-    """Return the cost of a host that is aggregator of ``shards`` shards."""
+def aggregator_load(fleet, costs, services):
+    """Return the cost of a host that is aggregator of some services."""
     reports = reports_of(fleet)
-    part = min(1.0, shards / min(SHARDS_PER_DOMAIN, fleet.services))
-    services = fleet.services * part
+    part = services / fleet.services
     reporters = (fleet.domain_hosts - 1) / reports.period_s
     active = reports.services * part
     reply = costs.header_bytes
-    reply += active * costs.of("verdict delta, service without change: bytes")
     asked = costs.header_bytes + active * costs.of("report, quiet service: bytes")
     asked += reports.summaries * part * costs.of("report, summary: bytes")
-    each_us = costs.side_us
-    each_us += active * costs.of("report, quiet service: decode")
+    each_us = costs.side_us + active * (
+        costs.of("report, quiet service: decode")
+        + costs.of("aggregator, quiet service of a report")
+    )
     each_us += reports.summaries * part * costs.of("report, summary: decode")
-    each_us += active * costs.of("verdict delta, service without change: encode")
     attempts = fleet.domain_hosts * fleet.rate * part
     spent_us = reporters * each_us + attempts * costs.of("detection observe")
     judged_us = services * costs.at(
         "detection evaluate, target", fleet.targets_per_service
     )
-    spent_us += EVALUATIONS_PER_S * judged_us
+    spent_us += judged_us / QUIET_PERIOD_S
     memory = services * fleet.targets_per_service
     memory *= costs.of("target in a pool, in use") / 1e6
     load = Load(reporters * reply, reporters * asked, spent_us / 1e3, memory, reporters)
     load.notes.append(
-        f"{shards} shards, {services:.0f} services, {reporters:.0f} reports/s, "
-        f"evaluation {EVALUATIONS_PER_S * judged_us / 1e3:.1f} ms/s"
+        f"{services} services, {reporters:.0f} reports/s, "
+        f"evaluation {judged_us / QUIET_PERIOD_S / 1e3:.1f} ms/s"
     )
     return load
 
@@ -270,8 +274,9 @@
     spent_ms = polls * costs.side_us / 1e3
     spent_ms += changes * costs.at("declaration change, 1% of size", 100)
     spent_ms += lists * costs.at("host list change, 1% of size", 100)
-    # Rankings of aggregators are worked out anew after each host list.
-    spent_ms += lists * costs.at("aggregator ranks, 1% of size", 100)
+    # Owners of shards follow the lists that change the own failure domain.
+    own_lists = lists / len(fleet.hosts_by_domain)
+    spent_ms += own_lists * costs.at("shard owners, host", fleet.domain_hosts) / 1e3
     return Load(sent, received, spent_ms, segments=polls)
 
 
--- a/bench/slopes_decisions.py
+++ b/bench/slopes_decisions.py
@@ -1,14 +1,18 @@
 """Microseconds of processor time per decision, and per change."""
 
+import asyncio
 import random
 import time
+from types import SimpleNamespace
 
 import orjson
 
 from oleanderroute.clock import ManualClock, SystemClock
 from oleanderroute.decisions.admission import Admission, AdmissionLimits, Ticket
 from oleanderroute.decisions.claims import ClaimLimits, ClaimRound
+from oleanderroute.decisions.detection import DetectionPool
 from oleanderroute.decisions.service_router import ServiceRouter
+from oleanderroute.decisions.shards import ShardOwners
 from oleanderroute.decisions.slots import LongSlots
 from oleanderroute.decisions.subset import HostCensus, HostPlace, choose_subset
 from oleanderroute.declaration.assembly import Assembler
@@ -16,13 +20,15 @@
 from oleanderroute.entry.route_table import RouteTable
 from oleanderroute.outcome import Attempt, AttemptKind, RequestClass
 from oleanderroute.platform.hostlist import host_list_from_document
+from oleanderroute.tasks.aggregator import Aggregator
 from oleanderroute.tasks.distribution import Distribution
 from oleanderroute.tasks.reporter import ServiceOutbox
-from oleanderroute.topology import Topology
+from oleanderroute.topology import SHARDS_PER_DOMAIN, Topology
 
 from .slopes_documents import FULL, declaration_document, host_list_document
 from .slopes_fit import fit_sizes, processor_us, repeated_us
 from .slopes_memory import declared, filled_claims, service_of, small, used_pool
+from .slopes_messages import header, report
 from .slopes_serving import make_serving
 
 NO_TARGETS = frozenset()
@@ -181,7 +187,7 @@
 
 def outbox_slopes():
     """Return the cost of adding an attempt to the next report."""
-    entry = None
+    entry = SimpleNamespace(service=service_of(18))
     outbox = ServiceOutbox(entry)
     attempt = Attempt("service-0-00", RequestClass.QUICK, AttemptKind.OK, 0.02)
     return [repeated_us("reporter, attempt", lambda: outbox.add(attempt, 1.0), 3000)]
@@ -193,7 +199,7 @@
     return [
         fit_sizes("declaration change, 1% of size", "ms", shares, declaration_ms),
         fit_sizes("host list change, 1% of size", "ms", shares, host_list_ms),
-        fit_sizes("aggregator ranks, 1% of size", "ms", shares, ranking_ms),
+        fit_sizes("shard owners, host", "us", (31, 62, 123), owners_us),
     ]
 
 
@@ -256,26 +262,54 @@
     return min(costs[1:])
 
 
-def ranking_ms(percent):
-    """Return the cost of ranking the aggregators of all services again."""
-    size = FULL.share(percent / 100)
-    document = host_list_document(size)
-    listed = host_list_from_document(document)
-    topology = Topology(listed.hosts[4], SystemClock())
-    topology.update(listed)
-    names = [f"service-{number}" for number in range(size.services)]
+def owners_us(hosts):
+    """Return the cost of one host that leaves its failure domain and returns."""
+    ids = [f"host-{number:03d}" for number in range(hosts)]
+    owners = ShardOwners("aggregator", SHARDS_PER_DOMAIN)
+    owners.update(ids)
+
+    def leave_and_return():
+        owners.update(ids[1:])
+        owners.update(ids)
+
+    return processor_us(leave_and_return, 10) / 2
+
+
+class JudgedServices:
+    """Takes the place of ``Serving`` at an aggregator."""
+
+    def __init__(self, services, clock):
+        self.services = services
+        self.clock = clock
+
+    def make_detection_pool(self, name):
+        """Return a pool for a service."""
+        return DetectionPool(self.services[name], self.clock, random.Random(1))
+
+
+def receive_us(count):
+    """Return the cost of a report of quiet services to an aggregator."""
+    clock = SystemClock()
+    services = declared(small(services=count, targets=18 * count)).services
+    aggregator = Aggregator(JudgedServices(services, clock), clock, None)
+    asked = report(count, 0)
+    sender = header()
+    aggregator.receive_report(asked, sender)
+    asyncio.run(aggregator.evaluate())
+    for one in asked.services:
+        one.verdict_version = aggregator.pools[one.service_name].version
+    return processor_us(lambda: aggregator.receive_report(asked, sender), 200)
 
-    def rank_all():
-        topology.ranks.clear()
-        for name in names:
-            topology.aggregator_of(name)
 
-    return processor_us(rank_all, 2) / 1e3
+def aggregator_slopes():
+    """Return the cost of taking a report, without its attempts."""
+    name = "aggregator, quiet service of a report"
+    return [fit_sizes(name, "us", (4, 8, 16), receive_us)]
 
 
 def decision_slopes():
     """Return the costs of all decisions."""
     found = router_slopes() + admission_slopes() + detection_slopes()
     found += claim_slopes() + slot_slopes() + subset_slopes() + route_slopes()
-    found += outbox_slopes() + change_slopes()
+    found += outbox_slopes() + aggregator_slopes() + change_slopes()
     return found
--- /dev/null
+++ b/features/capacity.feature
@@ -0,0 +1,37 @@
+Feature: The cost of control stays within its bounds at the two-year size
+
+  Scenario Outline: Shards are spread over <hosts> hosts
+    # Guards against a host with several shards, whose replies overrun its budget, and
+    # against a list of hosts whose every change moves most shards.
+    Given the shard owners of <hosts> hosts
+    Then no host owns more than <most> shards
+    And the loss of any one host moves at most <moved> shards
+
+    Examples:
+      | hosts | most | moved |
+      | 1     | 64   | 64    |
+      | 3     | 22   | 64    |
+      | 13    | 5    | 40    |
+      | 123   | 1    | 8     |
+
+  Scenario: An urgent report names only the services with failures
+    # Guards against one failure a second that makes a host report all its services.
+    Given a reporter with outcomes of 50 services
+    When one attempt of "service-7" fails
+    Then the urgent report names only "service-7"
+    And the next due report names the other 49 services
+
+  Scenario Outline: A reply to <who> about a service whose verdicts <state>
+    # Guards against replies that name every unchanged service, which take most of an
+    # aggregator's bytes, and against entries that take an unknown service for judged.
+    Given an aggregator that has judged "service-1"
+    When <who> reports a service whose verdicts <state>
+    Then the reply <answer>
+    And the entry's verdicts are <age>
+
+    Examples:
+      | who                    | state       | answer                     | age       |
+      | a host of this version | are known   | leaves the service out     | confirmed |
+      | a host of this version | are older   | carries all verdicts       | confirmed |
+      | a host of this version | are unknown | says it judges no verdicts | as before |
+      | a host of version 2    | are known   | carries no verdicts        | confirmed |
--- a/features/peer.feature
+++ b/features/peer.feature
@@ -26,9 +26,9 @@
 
     Examples:
       | version |
-      | 1       |
       | 2       |
       | 3       |
+      | 4       |
 
   # Guards against foreign hosts on the peer port.
   Scenario: peer: An address outside the allowed networks is refused
--- a/oleanderroute/decisions/detection.py
+++ b/oleanderroute/decisions/detection.py
@@ -137,10 +137,12 @@
 
     def observe_long_running(self, host_id, target_id, count, now):
         """Note how many long requests a host has in flight on a target."""
-        reports = self.long_reports.setdefault(target_id, {})
         if count == 0:
-            reports.pop(host_id, None)
+            reports = self.long_reports.get(target_id)
+            if reports is not None:
+                reports.pop(host_id, None)
             return
+        reports = self.long_reports.setdefault(target_id, {})
         reports[host_id] = LongReport(count, now)
 
     def evaluate(self, now):
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -10,7 +10,7 @@
 from ..ids import FailureDomain, HostId, Incarnation, Region
 from .gen.oleander_messages.ttypes import Header, PeerReply, PeerRequest
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 # A rolling upgrade has hosts of neighbouring versions side by side.
 ACCEPTED_VERSIONS = frozenset(
     {PROTOCOL_VERSION - 1, PROTOCOL_VERSION, PROTOCOL_VERSION + 1}
--- a/oleanderroute/tasks/aggregator.py
+++ b/oleanderroute/tasks/aggregator.py
@@ -12,8 +12,11 @@
     VerdictDelta,
 )
 from .base import DaemonTask
-from .reporter import attempts_of
+from .reporter import NOT_JUDGED, attempts_of
 
+# From this protocol version on, a service that a reply leaves out has no change.
+# Entries of the version before expect an answer for each service.
+TERSE_PROTOCOL_VERSION = 3
 EVALUATION_PERIOD_S = 0.25
 # Without a reported failure a pool is evaluated this seldom: 7 services of 18 targets
 # take about 4 ms, which four times a second would be more than a node's 1.3%.
@@ -133,17 +136,22 @@
     def receive_report(self, report, header):
         """Handle one ``OutcomeReport``; the reply carries the changed verdicts."""
         now = self.clock.now()
+        is_terse = header.protocol_version >= TERSE_PROTOCOL_VERSION
         services = []
         for service_report in report.services:
-            pool = self.pool_of(service_report.service_name)
+            name = service_report.service_name
+            known = service_report.verdict_version
+            pool = self.pool_of(name)
             if pool is None:
+                if is_terse:
+                    services.append(ServiceVerdicts(name, NOT_JUDGED, []))
                 continue
             pool.reported_at = now
             self.observe(pool, header.host_id, service_report, now)
-            targets = pool.delta_since(service_report.verdict_version)
-            services.append(
-                ServiceVerdicts(service_report.service_name, pool.version, targets)
-            )
+            targets = pool.delta_since(known)
+            if is_terse and not targets and pool.version == known:
+                continue
+            services.append(ServiceVerdicts(name, pool.version, targets))
         return "verdict_delta", VerdictDelta(services)
 
     def observe(self, pool, host_id, report, now):
@@ -162,7 +170,9 @@
     def observe_in_flight(self, pool, host_id, in_flight, now):
         """Note the long requests that a host has in flight, and those it ended."""
         counts = {item.target_id: item.long_running for item in in_flight}
-        for target_id in pool.verdicts.keys() | counts.keys():
+        # Most services run no long requests; visiting all their targets for each
+        # report would cost more than the report itself.
+        for target_id in pool.pool.long_reports.keys() | counts.keys():
             count = counts.get(target_id, 0)
             pool.pool.observe_long_running(host_id, target_id, count, now)
 
@@ -203,10 +213,13 @@
         """Evaluate all pools periodically."""
         while True:
             await asyncio.sleep(EVALUATION_PERIOD_S)
-            self.evaluate()
+            await self.evaluate()
+
+    async def evaluate(self):
+        """Evaluate each pool and log the verdicts that changed.
 
-    def evaluate(self):
-        """Evaluate each pool and log the verdicts that changed."""
+        A pool of 18 targets takes 0.2 ms, so requests are served in between.
+        """
         now = self.clock.now()
         wall_s = self.clock.wall()
         for name, pool in list(self.pools.items()):
@@ -220,6 +233,7 @@
             verdicts = pool.pool.evaluate(now)
             for change in pool.update_verdicts(verdicts, wall_s):
                 self.note_change(name, change)
+            await asyncio.sleep(0)
 
     def note_change(self, service_name, change):
         """Log a change of a target's state; the incident log keeps it."""
--- a/oleanderroute/tasks/reporter.py
+++ b/oleanderroute/tasks/reporter.py
@@ -26,6 +26,8 @@
 QUIET_AFTER_S = 10.0
 # Measured size of one summary and of a report's frame and header, for pacing.
 SUMMARY_BYTES = 24
+# Verdict version of a service that the aggregator does not know.
+NOT_JUDGED = -1
 REPORT_OVERHEAD_BYTES = 60
 
 
@@ -129,11 +131,13 @@
 
     async def run(self):
         """Send reports until cancelled."""
-        period_s = SHORTEST_PERIOD_S
+        due_at = self.clock.now() + SHORTEST_PERIOD_S
         while True:
-            await self.pause(period_s)
-            batches = self.collect()
-            period_s = next_period_s(batches)
+            await self.pause(due_at - self.clock.now())
+            is_due = self.clock.now() >= due_at
+            batches = self.collect() if is_due else self.collect_urgent()
+            if is_due:
+                due_at = self.clock.now() + next_period_s(batches)
             async with asyncio.TaskGroup() as group:
                 for host, reports in batches:
                     group.create_task(self.send(host, reports))
@@ -149,6 +153,19 @@
             pass
         self.wake.clear()
 
+    def collect_urgent(self):
+        """Return pairs of aggregator and the reports of services with failures.
+
+        At the two-year size a report of all services has 20 KB, so one failure a
+        second among them would cost more than the budget of a host.
+        """
+        batches = {}
+        for name, outbox in self.outboxes.items():
+            if outbox.urgent:
+                host = self.topology.aggregator_of(name)
+                batches.setdefault(host, []).append(outbox.take())
+        return list(batches.items())
+
     def collect(self):
         """Return pairs of aggregator and its service reports."""
         oldest = self.clock.now() - QUIET_AFTER_S
@@ -169,16 +186,35 @@
         except PeerError:
             # The outcomes are lost: the next report goes to the next in rank.
             return
+        self.apply_reply(reports, reply)
+
+    def apply_reply(self, reports, reply):
+        """Apply the verdicts of a reply; services that it leaves out are unchanged."""
         now = self.clock.now()
+        answered = set()
         for verdicts in reply.services:
+            answered.add(verdicts.service_name)
             outbox = self.outboxes.get(verdicts.service_name)
-            if outbox is None:
+            if outbox is None or verdicts.verdict_version == NOT_JUDGED:
                 continue
             outbox.entry.router.apply_verdicts(
                 verdicts.verdict_version,
                 [verdict_from_message(message) for message in verdicts.targets],
                 now,
             )
+        for report in reports:
+            if report.service_name not in answered:
+                self.confirm(report, now)
+
+    def confirm(self, report, now):
+        """Keep the verdicts that were in use when ``report`` was sent."""
+        outbox = self.outboxes.get(report.service_name)
+        if outbox is None:
+            return
+        router = outbox.entry.router
+        # Local judgement may have taken their place in the meantime.
+        if router.verdict_version == report.verdict_version:
+            router.apply_verdicts(report.verdict_version, (), now)
 
 
 def verdict_from_message(message):
