--- a/oleanderroute/decisions/choice.py
+++ b/oleanderroute/decisions/choice.py
@@ -19,7 +19,6 @@
 FAILURE_MEMORY_S = 0.5
 FAILURE_MEMORY_MAX_S = 5.0
 PENALTY = 8.0
-HOME_SCORE_FACTOR = 3.0
 # Draws before the choice falls back to a scan of all candidates.
 DRAW_LIMIT = 4
 
@@ -27,7 +26,6 @@
 class ChoiceReason(Enum):
     """Why a target was chosen, or why none was."""
 
-    HOME = "a home slot is free"
     LEAST_LOADED = "least loaded of two"
     ONLY_CANDIDATE = "only candidate left"
     PROBATION = "probation share"
@@ -66,8 +64,6 @@
     ----------
     quick, long : int
         Own requests in flight by class.
-    home_slots : int
-        Slots that this host fills before others.
     long_elsewhere : int
         Long requests in flight from other hosts, by the last verdict.
     latency_s : float
@@ -85,7 +81,6 @@
         "quick",
         "long",
         "long_elsewhere",
-        "home_slots",
         "latency_s",
         "latency_at",
         "penalty_until",
@@ -103,7 +98,6 @@
         self.quick = 0
         self.long = 0
         self.long_elsewhere = 0
-        self.home_slots = 0
         self.latency_s = LATENCY_FLOOR_S
         self.latency_at = 0.0
         self.penalty_until = -math.inf
@@ -138,14 +132,6 @@
         """Tell whether a long request would leave a slot to quick ones."""
         return self.long + self.long_elsewhere + 1 < self.slots
 
-    def has_free_home_slot(self, now):
-        """Tell whether a slot that this host fills first seems to be idle."""
-        if self.quick + self.long >= self.home_slots or now < self.penalty_until:
-            return False
-        if self.long_elsewhere + self.home_slots > self.slots:
-            return False
-        return self.state is TargetState.HEALTHY
-
     def record(self, attempt, now):
         """Learn from a finished attempt."""
         kind = attempt.kind
@@ -181,13 +167,12 @@
         Candidates with a weight above 0, or ejected ones as the last resort.
     """
 
-    __slots__ = ("views", "bounds", "total", "homes")
+    __slots__ = ("views", "bounds", "total")
 
     def __init__(self, views):
         self.views = views
         self.bounds = list(accumulate(view.weight or 1.0 for view in views))
         self.total = self.bounds[-1] if views else 0.0
-        self.homes = [view for view in views if view.home_slots]
 
     def draw(self, rng):
         """Return a random candidate by weight. The table must not be empty."""
@@ -219,9 +204,6 @@
             continue
         if first is None:
             first = view
-            home = find_home(table.homes, first, excluded, rng, now)
-            if home is not None:
-                return Choice(home.target, ChoiceReason.HOME, is_local)
             continue
         if view is first or view.state is TargetState.EJECTED:
             continue
@@ -231,30 +213,6 @@
     return _scan_quick(table, excluded, now, is_local)
 
 
-def find_home(homes, drawn, excluded, rng, now):
-    """Return a target with a free home slot, or None.
-
-    Parameters
-    ----------
-    homes : list of TargetView
-    drawn : TargetView
-        A random candidate. A home that is much slower than it is passed over, as
-        it may be sick.
-    """
-    if not homes:
-        return None
-    start = int(rng.random() * len(homes))
-    bound = HOME_SCORE_FACTOR * drawn.score(now)
-    for offset in range(len(homes)):
-        view = homes[start + offset - len(homes)]
-        if not view.has_free_home_slot(now) or view.score(now) > bound:
-            continue
-        if view.target.target_id in excluded:
-            continue
-        return view
-    return None
-
-
 def _scan_quick(table, excluded, now, is_local):
     best = None
     best_score = math.inf
--- a/oleanderroute/decisions/service_router.py
+++ b/oleanderroute/decisions/service_router.py
@@ -119,17 +119,6 @@
         for view in self.views.values():
             view.slots = service.slots_per_target
 
-    def set_homes(self, homes):
-        """Set the slots that this host fills first.
-
-        Parameters
-        ----------
-        homes : dict of TargetId to int
-        """
-        for target_id, view in self.views.items():
-            view.home_slots = homes.get(target_id, 0)
-        self._rebuild()
-
     def choose(self, request_class, excluded, idempotent, now):
         """Choose a target.
 
--- a/oleanderroute/serving.py
+++ b/oleanderroute/serving.py
@@ -6,7 +6,6 @@
 from .decisions.admission import Admission, AdmissionLimits
 from .decisions.budget import RetryBudget
 from .decisions.detection import DetectionPool
-from .decisions.home import home_slots
 from .decisions.service_router import ServiceRouter
 from .decisions.subset import HostCensus, HostPlace, choose_subset
 from .declaration.model import Target
@@ -192,14 +191,6 @@
         chosen_ids = set(subset.target_ids)
         chosen = [target for target in targets if target.target_id in chosen_ids]
         entry.router.set_targets(chosen, wanted.leaving, len(targets))
-        entry.router.set_homes(
-            home_slots(
-                self.identity.host_id,
-                [place.host_id for place in self.census],
-                [target.target_id for target in targets],
-                service.slots_per_target,
-            )
-        )
         entry.gate.admission.set_ceiling(len(chosen) * service.slots_per_target)
         for target in chosen:
             self.pool.set_connection_limit(target.target_id, subset.connections)
