--- a/features/steps/promises_gray_steps.py
+++ b/features/steps/promises_gray_steps.py
@@ -34,7 +34,12 @@
 
 # Modes of the first target; "pause" stops its process.
 MODES = {
-    "errors": {"fail_share": 0.6, "fail_only_real": True},
+    # Probes pass and the load endpoint shows an idle target.
+    "errors": {
+        "fail_share": 0.6,
+        "fail_only_real": True,
+        "load_fixed": {"slots": SLOTS, "busy": 0, "queued": 0, "connections": 0},
+    },
     "slow": {"slow_for": {"add_ms": 400}, "fail_only_real": True},
     "slowdomain": {"slow_for": {"domains": ["a"], "add_ms": 400}},
     "silent": {"silent": True},
