Read target states by name in the promises' checks, and require an ejection

/explain changed from state numbers to names, so that no target ever looked ejected and the checks of the floor and of healthy targets held without any meaning. An unknown state is now an error, and the floor scenario fails if nothing is ejected.

--- a/features/promises_gray.feature
+++ b/features/promises_gray.feature
@@ -37,7 +37,8 @@
 
   Scenario: Ejection stops at the floor
     Given the promises_gray run of all modes
-    Then the promises_gray slots of "atfloor" stay at 8 at least
+    Then the promises_gray hosts keep a target of "atfloor" out
+    And the promises_gray slots of "atfloor" stay at 8 at least
     And the promises_gray healthy targets of "atfloor" stay in on all hosts
 
   Scenario: Nothing stays ejected when most targets are sick
--- a/features/steps/promises_gray_steps.py
+++ b/features/steps/promises_gray_steps.py
@@ -12,8 +12,7 @@
 
 from bench.fleet import ServicePlan
 from features.support.processes import load_report
-from features.support.promise_fleet import WORKSPACE, note, shared_fleet
-from oleanderroute.decisions.verdict import TargetState
+from features.support.promise_fleet import WORKSPACE, is_out, note, shared_fleet
 
 HOSTS = 6
 TARGETS = 5
@@ -26,7 +25,6 @@
 DETECTION_BOUND_S = 5.0
 TAIL_S = 4.0
 POLL_S = 0.4
-OUT_STATES = {TargetState.EJECTED, TargetState.PROBATION}
 # Parts of a fair share of the work. Probation sends a share of real traffic to an
 # ejected target; a target that flaps is good for half of the time.
 TRIAL_SHARE = 0.25
@@ -160,7 +158,7 @@
     for host_id, view in sample.views.items():
         if run.domain_of(host_id) not in domains:
             continue
-        if view[target_id]["state"] not in OUT_STATES:
+        if not is_out(view[target_id]):
             return False
     return bool(sample.views)
 
@@ -212,7 +210,7 @@
             for target_id, one in view.items():
                 if target_id in run.sick(service):
                     continue
-                if one["state"] in OUT_STATES:
+                if is_out(one):
                     ejected.add((host_id, target_id))
     note(context, false_ejections=len(ejected))
     assert not ejected, ejected
@@ -225,7 +223,7 @@
     for sample in run.samples[service]:
         for host_id, view in sample.views.items():
             if run.domain_of(host_id) in domains.split(","):
-                assert view[target_id]["state"] not in OUT_STATES, host_id
+                assert not is_out(view[target_id]), host_id
 
 
 def slots_kept(run, service, since_s=0.0):
@@ -235,7 +233,7 @@
         if sample.at_s < since_s:
             continue
         for view in sample.views.values():
-            kept = [one for one in view.values() if one["state"] not in OUT_STATES]
+            kept = [one for one in view.values() if not is_out(one)]
             counts.append(len(kept) * SLOTS)
     if counts:
         return min(counts)
@@ -252,6 +250,12 @@
     assert kept >= floor, kept
 
 
+@then('the promises_gray hosts keep a target of "{service}" out')
+def step_some_out(context, service):
+    kept = slots_kept(context.run, service)
+    assert kept < TARGETS * SLOTS, "nothing was ejected, so no floor was reached"
+
+
 @then('the promises_gray slots of "{service}" are all {slots:d} in use after the bound')
 def step_all_in_use(context, service, slots):
     kept = slots_kept(context.run, service, DETECTION_BOUND_S)
--- a/features/steps/promises_pairs_steps.py
+++ b/features/steps/promises_pairs_steps.py
@@ -6,8 +6,7 @@
 
 from bench.fleet import ServicePlan
 from features.support.processes import load_report
-from features.support.promise_fleet import WORKSPACE, note, shared_fleet
-from oleanderroute.decisions.verdict import TargetState
+from features.support.promise_fleet import WORKSPACE, is_out, note, shared_fleet
 
 HOSTS = 9
 SERVICE = "pairs"
@@ -20,7 +19,6 @@
 IN_FORCE_BOUND_S = 12.0
 # Killed daemons are of one failure domain, so that two holders of each key remain.
 KILLED_DOMAIN = "c"
-OUT_STATES = {TargetState.EJECTED, TargetState.PROBATION}
 
 
 @given("the promises_pairs fleet")
@@ -144,7 +142,7 @@
         document = fleet.explain(host, SERVICE)
         if document is None:
             continue
-        kept = [one for one in document["targets"] if one["state"] not in OUT_STATES]
+        kept = [one for one in document["targets"] if not is_out(one)]
         fewest = min(fewest, len(kept) * SLOTS)
     return fewest
 
--- a/features/support/promise_fleet.py
+++ b/features/support/promise_fleet.py
@@ -13,10 +13,12 @@
 from features.support.processes import LOOPBACK
 from oleanderroute.decisions.fingerprint import claim_key
 from oleanderroute.decisions.holder_ranking import rank_distinct_domains
+from oleanderroute.decisions.verdict import TargetState
 
 WORKSPACE = "papelitos"
 HOLDERS = 3
 SEED = 11
+OUT_STATES = {TargetState.EJECTED, TargetState.PROBATION}
 
 
 def service_routes(name, **order_changes):
@@ -212,6 +214,11 @@
         return None
 
 
+def is_out(explanation):
+    """Tell whether a host keeps a target out; an unknown state is an error."""
+    return TargetState[explanation["state"].upper()] in OUT_STATES
+
+
 def shared_fleet(context, name, services, hosts):
     """Return the feature's fleet of this name, started on its first use.
 
