--- a/bench/ablated_daemon.py
+++ b/bench/ablated_daemon.py
@@ -149,7 +149,7 @@
 
 
 ABLATIONS = {
-    "pooled-detection": Ablation(without_pooled_detection, ("noise", "detection")),
+    "pooled-detection": Ablation(without_pooled_detection, ("detection",)),
     "quick-reservation": Ablation(without_quick_reservation, ("uploads",)),
     "deadline-queue": Ablation(without_deadline_queue, ("crest",)),
     "retry-budget": Ablation(without_retry_budget, ("crest",)),
--- a/bench/compare_measures.py
+++ b/bench/compare_measures.py
@@ -163,6 +163,7 @@
     host_hours = len(fleet.hosts) * (until - begin) / SECONDS_PER_HOUR
     details = {
         "ejections": count,
+        "reasons": version.ejection_reasons(NOISY_SERVICE, begin, until),
         "host_hours": round(host_hours, 4),
         "share_in_time": round(report["total"]["all"]["share_in_time"], 4),
         "send_lag_p99_ms": send_lag(report),
