Raise the admission limit while requests wait and no target refuses

Ruled out: the targets, which had 14 of 24 slots free, and the choice of targets. The limit now grows by 1 in 20 ms while requests wait and nothing was refused for 1 s, and early refusal counts on that growth.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -72,3 +72,15 @@
       | 2     | half the slots long    | service-long-share |
       | 1     | half the slots long    | service-long-share |
       | 2     | no targets             | no-targets         |
+
+  # Guards against two slow requests on a new host that hold up all others.
+  Scenario Outline: limits: Requests that wait without a refusal raise the limit
+    Given limits: an admission with 24 slots and 2 running requests that never end
+    When limits: 10 requests wait for 0.5 s after a refusal <age> s ago
+    Then limits: <admitted> of the waiting requests are admitted
+
+    Examples:
+      | age  | admitted |
+      | none | 10       |
+      | 0.1  | 0        |
+      | 5    | 10       |
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -312,3 +312,28 @@
 @then('the limits slot answer is "{reason}"')
 def step_slot_answer(context, reason):
     assert context.answer.reason.value == reason, context.answer
+
+
+@given("limits: an admission with 24 slots and 2 running requests that never end")
+def step_busy_admission(context):
+    service = make_service(targets=12, slots=2)
+    context.admission = Admission(service, AdmissionLimits(), ManualClock())
+    admit(context.admission, "quick", 2)
+
+
+@when("limits: 10 requests wait for 0.5 s after a refusal {age} s ago")
+def step_wait_without_refusal(context, age):
+    admission = context.admission
+    clock = admission.clock
+    if age != "none":
+        admission.decreased_at = clock.now() - float(age)
+    admit(admission, "quick", 10, start=10)
+    context.admitted = []
+    for _ in range(50):
+        clock.advance(0.01)
+        context.admitted += admission.grow_if_waiting(clock.now())
+
+
+@then("limits: {count:d} of the waiting requests are admitted")
+def step_waiting_admitted(context, count):
+    assert len(context.admitted) == count, context.admitted
--- a/oleanderroute/decisions/admission.py
+++ b/oleanderroute/decisions/admission.py
@@ -31,6 +31,11 @@
         a host's share of the slots is about one, the slow growth after a refusal
         keeps hosts from colliding; it would take a larger service too long to
         follow a demand swing.
+    waiting_growth_s : float
+        While requests wait and no target has refused for ``unrefused_s``, the limit
+        grows by 1 in this time: a few slow requests on a host without history must
+        not hold up the others.
+    unrefused_s : float
     queue_limit : int
         Waiting requests of both classes together.
     long_queue_share : float
@@ -47,6 +52,8 @@
     decrease_factor: float = 0.85
     decrease_pause_s: float = 0.02
     calm_s: float = 30.0
+    waiting_growth_s: float = 0.02
+    unrefused_s: float = 1.0
     queue_limit: int = 256
     long_queue_share: float = 0.5
     service_time_gain: float = 0.1
@@ -140,6 +147,7 @@
         self.queues = {kind: DeadlineQueue() for kind in RequestClass}
         self.expected_s = dict.fromkeys(RequestClass, 0.0)
         self.decreased_at = None
+        self.grown_at = clock.now()
 
     def set_ceiling(self, slots):
         """Adapt to the number of slots that the service has now."""
@@ -254,6 +262,33 @@
                 expired.append(ticket)
         return expired
 
+    def grow_if_waiting(self, now):
+        """Raise the limit while requests wait although no target refuses.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of Ticket
+            Requests that are admitted now.
+        """
+        if now - self.grown_at < self.limits.waiting_growth_s:
+            return []
+        if self.waiting_count() == 0 or not self._is_unrefused(now):
+            return []
+        self.grown_at = now
+        self.limit = min(self.limit + 1.0, float(self.ceiling))
+        return self.admit_waiting(now)
+
+    def _is_unrefused(self, now):
+        """Return whether the limit, not the targets, is what requests wait for."""
+        if self.decreased_at is None:
+            return True
+        return now - self.decreased_at >= self.limits.unrefused_s
+
     def cancel(self, ticket):
         """Take a waiting request out, for a caller that left.
 
@@ -318,6 +353,9 @@
         expected_s = self.expected_s[request_class]
         ahead = len(self.queues[request_class])
         width = int(self.limit)
+        if self._is_unrefused(now):
+            # The limit will grow before the queue is worked off.
+            width = self.ceiling
         if request_class is RequestClass.LONG:
             width = self.long_limit()
         wait_s = self.limits.wait_weight * (ahead + 1) * expected_s / width
--- a/oleanderroute/entry/gate.py
+++ b/oleanderroute/entry/gate.py
@@ -78,6 +78,8 @@
         """Refuse the waiting tickets that can't finish in time any more."""
         for ticket in self.admission.expire(self.clock.now()):
             self.resolve(ticket, AdmissionReason.CANNOT_FINISH)
+        for ticket in self.admission.grow_if_waiting(self.clock.now()):
+            self.resolve(ticket, AdmissionReason.WITHIN_LIMIT)
 
     def resolve(self, ticket, reason):
         """Wake the request that waits on a ticket."""
