--- a/oleanderroute/decisions/comparison.py
+++ b/oleanderroute/decisions/comparison.py
@@ -40,8 +40,8 @@
 ABSOLUTE_SHARE = 0.5
 ABSOLUTE_SLOW_FACTOR = 4.0
 # Windows, by position in WINDOW_LENGTHS_S, in which latencies are compared.
-LATENCY_WINDOWS = (0, 2, 3)
-LONGEST_WINDOW = 3
+LATENCY_WINDOWS = (0, 1, 2)
+LONGEST_WINDOW = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderroute/decisions/windows.py
+++ b/oleanderroute/decisions/windows.py
@@ -11,10 +11,9 @@
 from ..outcome import AttemptKind
 
 SLICE_S = 0.5
-# The shortest window finds sudden faults, the longest one partial faults and those of
-# services with little traffic. At 2 or 3 outcomes a second, 2 s hold too few of them,
-# and in 10 s the outcomes from before the fault hide it; 5 s lie between the two.
-WINDOW_LENGTHS_S = (2.0, 5.0, 10.0, 60.0)
+# The short window finds sudden faults, the long one partial faults and those of
+# services with little traffic.
+WINDOW_LENGTHS_S = (2.0, 10.0, 60.0)
 # Neighbouring latency classes differ by 10%, so a quantile errs by less than that.
 LATENCY_STEP = math.log(1.1)
 LATENCY_FLOOR_S = 0.0001
