Record the capacity at full size with what does not fit

The first version read stalls of earlier changes; it now reads the delay of the ten seconds around each change.

--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -1,7 +1,11 @@
 """The lines of docs/CAPACITY.md: each role's figures against the bounds."""
 
+from collections import Counter
 from dataclasses import dataclass
 
+from oleanderroute.decisions.subset import HostCensus, HostPlace, choose_all_subsets
+from oleanderroute.declaration.document import target_from_document
+
 from .capacity_model import (
     DAY_S,
     SEGMENT_BYTES,
@@ -19,11 +23,14 @@
     scrape_load,
     service_owners,
 )
+from .slopes_documents import service_document
 
 PROCESSOR_BOUND_MS = 13.0
 MEMORY_BOUND_MB = 128.0
 SENT_BOUND = 11_000.0
 DOMAIN_RELAYS = 2
+CONNECTION_BOUND = 330
+SAMPLED_SERVICES = 10
 STORE_READ_BOUND = 2_000.0
 STORE_WRITE_BOUND = 300.0
 
@@ -195,9 +202,54 @@
             "B/s",
         )
     )
+    found.append(ordinary_memory(fleet, costs, full_size))
+    found.append(connection_line(fleet))
     return found + store_lines(fleet) + change_lines(fleet, costs, full_size)
 
 
+def ordinary_memory(fleet, costs, full_size):
+    """Return the memory of a host that aggregates its mean share of services."""
+    services = round(fleet.services / fleet.domain_hosts)
+    pooled = aggregator_load(fleet, costs, services).memory_mb
+    return Line(
+        "host with a mean share of the roles",
+        "memory",
+        "the process",
+        "full-size run; connection; burn report; target in a pool",
+        full_size.resident_mb + serving_mb(fleet, costs) + pooled,
+        MEMORY_BOUND_MB,
+        "MB",
+        "the full-size run is of a relay, which holds the platform's documents too",
+    )
+
+
+def connection_line(fleet):
+    """Return the most connections that hosts may open to one target."""
+    places = []
+    for domain, ids in fleet.hosts_by_domain.items():
+        places += [HostPlace(one, domain) for one in ids]
+    census = HostCensus(places)
+    highest = 0
+    for number in range(SAMPLED_SERVICES):
+        count = round(fleet.targets_per_service)
+        document = service_document(number, 0, count)
+        targets = [target_from_document(one) for one in document["targets"]]
+        used = Counter()
+        for subset in choose_all_subsets(census, targets, CONNECTION_BOUND).values():
+            for target_id in subset.target_ids:
+                used[target_id] += subset.connections
+        highest = max(highest, *used.values())
+    return Line(
+        "target",
+        "connections from all hosts",
+        "decisions/subset.py",
+        f"the subsets of 860 hosts for {SAMPLED_SERVICES} services",
+        highest,
+        CONNECTION_BOUND,
+        "1",
+    )
+
+
 def list_ms(full_size):
     """Return the processor time of one host list at a relay."""
     values = [one["processor_ms"] for one in full_size.host_list]
@@ -232,8 +284,8 @@
             "key-value service",
             "writes",
             "platform/publish.py",
-            "3 writes (chunk, record, head) per change",
-            3 * changes,
+            "4 writes (chunk, head, 2 of history) per change; store calls by cause",
+            4 * changes,
             STORE_WRITE_BOUND,
             "1/s",
         ),
--- a/bench/slopes_daemon.py
+++ b/bench/slopes_daemon.py
@@ -20,10 +20,10 @@
 )
 
 # The daemon publishes its longest delay every 10 s.
-DELAY_PERIOD_S = 10.5
+DELAY_PERIOD_S = 10.0
 LOOP_DELAY = "oleander_event_loop_delay_seconds"
 SENT_BYTES = "oleander_peer_sent_bytes_total"
-STORE_CALLS_S = 8.0
+STORE_CALLS_S = 6.0
 LOAD_S = 20.0
 WARM_S = 6.0
 CHANGES = 3
@@ -156,10 +156,11 @@
         self.fleet.apply(self.document, "full size")
         apply_s = time.monotonic() - started
         ready_s = self.start()
-        time.sleep(DELAY_PERIOD_S)
+        time.sleep(2 * DELAY_PERIOD_S)
         before = processor_s(self.pid)
-        idle_stall_ms = self.watch_stall_ms()
+        time.sleep(DELAY_PERIOD_S)
         self.idle_s = processor_s(self.pid) - before
+        idle_stall_ms = self.stall_ms()
         host_list = [self.change(self.leave_host) for _ in range(2)]
         declaration = [self.change(self.edit) for _ in range(2)]
         return FullSize(
@@ -193,25 +194,21 @@
         """Process id of the daemon."""
         return self.fleet.daemons[self.host.host_id].pid
 
-    def watch_stall_ms(self):
-        """Return the longest delay that the daemon publishes in the next period.
-
-        It is read twice, since the next period's value takes its place.
-        """
-        longest_s = 0.0
-        for _ in range(2):
-            time.sleep(DELAY_PERIOD_S / 2)
-            delays = metric_values(self.fleet, self.host, LOOP_DELAY)
-            longest_s = max(longest_s, *delays.values())
-        return longest_s * 1e3
+    def stall_ms(self):
+        """Return the longest delay that the daemon published last."""
+        return max(metric_values(self.fleet, self.host, LOOP_DELAY).values()) * 1e3
 
     def change(self, act):
-        """Make a change and return its ``ChangeCost``."""
+        """Make a change and return its ``ChangeCost``.
+
+        The value read at the end is of the 10 s around the change, and of no
+        earlier one.
+        """
         before = processor_s(self.pid)
         act()
-        stall_ms = self.watch_stall_ms()
+        time.sleep(DELAY_PERIOD_S)
         spent_s = processor_s(self.pid) - before - self.idle_s
-        return ChangeCost(spent_s * 1e3, stall_ms)
+        return ChangeCost(spent_s * 1e3, self.stall_ms())
 
     def leave_host(self):
         """Let one more host leave."""
