Let a slot coordinator grant at once if it has ranked first all along

A host that ranked first since the last change of the host list has missed no renewal and now grants at once. Test runs side by side take ports further apart; they collided.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -30,7 +30,8 @@
     """Hands out free loopback ports; test runs begin at different ones."""
 
     def __init__(self):
-        self.offset = os.getpid() * 61 % PORT_COUNT
+        # Runs side by side take blocks of ports that are far apart.
+        self.offset = os.getpid() * 997 % PORT_COUNT
 
     def next(self):
         """Return a port that is free for TCP."""
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -201,7 +201,10 @@
         )
         self.pipeline.service_for = self.recovery.service_for
         self.slot_coordinator = SlotCoordinator(
-            self.serving.service_of, self.serving.usable_targets, self.clock
+            self.topology,
+            self.serving.service_of,
+            self.serving.usable_targets,
+            self.clock,
         )
         self.caller_server = CallerServer(
             CallerApplication(self.pipeline, self.clock),
--- a/oleanderroute/tasks/slotleases.py
+++ b/oleanderroute/tasks/slotleases.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
-from ..decisions.slots import RENEWAL_PERIOD_S, LongSlots, SlotReason
+from ..decisions.slots import LISTEN_S, RENEWAL_PERIOD_S, LongSlots, SlotReason
 from ..declaration.model import Service
 from ..errors import PeerError
 from ..ids import TargetId
@@ -57,6 +57,7 @@
 
     Parameters
     ----------
+    topology : Topology
     service_of : callable
         Returns the ``Service`` of a name, or None.
     targets_of : callable
@@ -64,7 +65,8 @@
     clock : Clock
     """
 
-    def __init__(self, service_of, targets_of, clock):
+    def __init__(self, topology, service_of, targets_of, clock):
+        self.topology = topology
         self.service_of = service_of
         self.targets_of = targets_of
         self.clock = clock
@@ -99,12 +101,24 @@
             return None
         table = self.tables.get(service_name)
         if table is None:
-            table = LongSlots(service, self.clock)
+            table = self.make_table(service)
             self.tables[service_name] = table
         table.service = service
         table.set_targets(self.targets_of(service_name))
         return table
 
+    def make_table(self, service):
+        """Return a new lease table.
+
+        A host that has ranked first since the host list last changed has missed no
+        renewal, so it need not listen for them before its first grant.
+        """
+        table = LongSlots(service, self.clock)
+        if self.topology.coordinates_slots(service):
+            heard_all_at = self.topology.changed_at + LISTEN_S
+            table.listens_until = min(table.listens_until, heard_all_at)
+        return table
+
 
 class SlotClient(DaemonTask):
     """Acquires, renews and releases the leases of this host.
--- a/oleanderroute/topology.py
+++ b/oleanderroute/topology.py
@@ -41,6 +41,7 @@
         self.missed_replies = {}
         self.avoided_until = {}
         self.ranks = {}
+        self.changed_at = clock.now()
         self.aggregators = ShardOwners("aggregator", SHARDS_PER_DOMAIN)
         self.update(EMPTY_HOST_LIST)
 
@@ -51,6 +52,8 @@
         ----------
         host_list : HostList
         """
+        if self.hosts.keys() != {host.host_id for host in host_list.hosts}:
+            self.changed_at = self.clock.now()
         self.hosts = {host.host_id: host for host in host_list.hosts}
         # The list lags: a host that has just started is not on it yet.
         self.hosts.setdefault(self.own.host_id, self.own)
@@ -70,6 +73,12 @@
         """Return the host that leases the long slots of a service."""
         return self.first_answering(f"slots/{service.name}", region=service.region)
 
+    def coordinates_slots(self, service):
+        """Tell whether this host ranks first for the long slots of a service."""
+        hosts = self.live_hosts(region=service.region)
+        ranked = rank(f"slots/{service.name}", hosts)
+        return bool(ranked) and ranked[0] == self.own.host_id
+
     def crash_counter_of(self, fingerprint):
         """Return the host that counts the crashes of one request fingerprint."""
         return self.first_answering(f"crash/{fingerprint}", is_kept=False)
