--- a/bench/ablated_daemon.py
+++ b/bench/ablated_daemon.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from oleanderroute import daemon, serving
+from oleanderroute import assembly, daemon, serving
 from oleanderroute.decisions import admission, budget, choice, service_router
 from oleanderroute.outcome import RequestClass
 from oleanderroute.tasks.slotleases import LeaseAnswer, LeaseResult
@@ -56,7 +56,7 @@
 def without_quick_reservation():
     """Choose targets of long requests without leases and without their bounds."""
 
-    class NoLeases(daemon.SlotClient):
+    class NoLeases(assembly.SlotClient):
         """Leaves every long request to the entry's own choice."""
 
         async def acquire(self, service, lease_id, excluded):
@@ -71,7 +71,7 @@
 
     replace(choice.TargetView, "has_long_slot", has_long_slot)
     replace(service_router, "choose_long", choose_long)
-    replace(daemon, "SlotClient", NoLeases)
+    replace(assembly, "SlotClient", NoLeases)
 
 
 def without_deadline_queue():
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -1,8 +1,6 @@
 """The daemon ``oleanderrouted``: one per entry host."""
 
 import asyncio
-import random
-import secrets
 import signal
 import sys
 from contextlib import AsyncExitStack
@@ -13,254 +11,27 @@
 from eliot import add_destinations, remove_destination
 
 from . import events
-from .clock import SystemClock
-from .decisions.claims import CLAIM_LIFETIME_S, ClaimLimits, ClaimTable, HolderView
-from .decisions.quarantine import Quarantine
-from .entry.app import CallerApplication
-from .entry.attempts import AttemptRunner
-from .entry.caller_protocol import CallerLimits
+from .assembly import HostParts
 from .entry.collector import tune_collector
-from .entry.pipeline import Pipeline
-from .entry.server import CallerServer
-from .entry.target_pool import TargetPool
 from .errors import SettingsError
 from .events import Level
 from .logs import log_file
-from .metrics import Metrics
-from .operator.burn import BurnLedger
 from .operator.exposition import metrics_page
 from .operator.gauges import refresh
 from .operator.hostreport import host_report
-from .operator.incidents import IncidentLog
 from .operator.server import OperatorServer, make_application
-from .peer.client import PeerClient
-from .peer.codec import HeaderState, PeerIdentity, make_header
+from .peer.codec import HeaderState, make_header
 from .peer.gen.oleander_messages.ttypes import StatusReply
-from .peer.links import LinkFilter
-from .peer.server import PeerServer
-from .platform.hostlist import HostEntry, MemberState
-from .platform.store import StoreClient
-from .serving import Serving
 from .settings import load_settings
-from .tasks.aggregator import Aggregator
 from .tasks.base import supervise
-from .tasks.bootstrap import INCARNATION_KIND, BootstrapTask
-from .tasks.claimclient import ClaimClient
-from .tasks.claimservice import ClaimHolder
-from .tasks.claimviews import ClaimViews
-from .tasks.configuration import ConfigurationTask
-from .tasks.crashreports import CrashReporter
-from .tasks.distribution import Distribution, seed_addresses
-from .tasks.hosts import HostListTask
+from .tasks.bootstrap import INCARNATION_KIND
 from .tasks.housekeeping import Housekeeping
-from .tasks.listconfirmation import ConfirmingHostListClient
-from .tasks.messenger import Messenger
-from .tasks.recovery import RecoveryTask
-from .tasks.reporter import Reporter
-from .tasks.slotleases import SlotClient, SlotCoordinator
-from .topology import Topology
 
 EXIT_SETTINGS = 2
-INCARNATION_BITS = 48
-
-
-class Daemon:
-    """All parts of one host, wired together.
-
-    Parameters
-    ----------
-    settings : Settings
-    clock : Clock
-    """
-
-    def __init__(self, settings, clock=None):
-        self.settings = settings
-        self.clock = clock or SystemClock()
-        self.rng = random.Random(secrets.randbits(64))
-        self.started_at = self.clock.now()
-        self.is_draining = False
-        self.stop_requested = asyncio.Event()
-        self.metrics = Metrics()
-        self.link_filter = LinkFilter()
-        self.identity = PeerIdentity(
-            settings.fleet,
-            settings.host_id,
-            secrets.randbits(INCARNATION_BITS),
-            settings.failure_domain,
-            settings.region,
-        )
-        self.build_peers()
-        self.build_claims()
-        self.build_serving()
-        self.build_configuration()
-        self.register_messages()
-
-    def build_peers(self):
-        """Make the peer port, the peer client and the view of the fleet."""
-        settings = self.settings
-        self.topology = Topology(self.own_entry(), self.clock)
-        self.peer_server = PeerServer(
-            settings.fleet,
-            self.header,
-            self.on_header,
-            self.link_filter,
-            settings.peer.allowed_networks,
-            self.metrics,
-        )
-        self.peer_client = PeerClient(
-            settings.fleet,
-            self.header,
-            self.on_header,
-            self.on_reply,
-            self.link_filter,
-            self.clock,
-            self.metrics,
-        )
-        self.messenger = Messenger(
-            self.topology, self.peer_client, self.peer_server, self.header
-        )
 
-    def own_entry(self):
-        """Return this host as the host list would show it."""
-        settings = self.settings
-        return HostEntry(
-            settings.host_id,
-            settings.peer.address,
-            settings.caller.port,
-            settings.peer.port,
-            settings.operator.port,
-            settings.failure_domain,
-            settings.region,
-            MemberState.LIVE,
-        )
 
-    def build_claims(self):
-        """Make both sides of at-most-once claims."""
-        limits = ClaimLimits()
-        self.holder_view = HolderView(
-            self.identity.host_id,
-            self.identity.incarnation,
-            CLAIM_LIFETIME_S,
-            self.started_at,
-            limits,
-        )
-        self.claim_table = ClaimTable(
-            CLAIM_LIFETIME_S, limits, self.clock, self.holder_view
-        )
-        self.claim_holder = ClaimHolder(self.claim_table, self.clock, self.metrics)
-        self.claim_views = ClaimViews(self.holder_view, self.identity.region)
-        self.claims = ClaimClient(
-            self.claim_views,
-            self.topology,
-            self.messenger,
-            CLAIM_LIFETIME_S,
-            limits,
-            self.clock,
-        )
-
-    def build_serving(self):
-        """Make the path of requests and the decisions on it."""
-        identity = self.identity
-        self.burn = BurnLedger(self.clock)
-        self.incidents = IncidentLog()
-        self.target_pool = TargetPool(
-            identity.host_id, identity.failure_domain, self.clock
-        )
-        self.reporter = Reporter(self.topology, self.messenger, self.clock)
-        self.quarantine = Quarantine(self.clock)
-        self.crashes = CrashReporter(
-            self.quarantine, self.topology, self.messenger, self.clock
-        )
-        self.slot_client = SlotClient(self.topology, self.messenger)
-        runner = AttemptRunner(
-            self.target_pool,
-            self.slot_client,
-            self.reporter,
-            self.crashes,
-            identity,
-            self.clock,
-            self.metrics,
-        )
-        self.pipeline = Pipeline(
-            self.claims, self.quarantine, runner, self.clock, self.metrics, self.burn
-        )
-        self.serving = Serving(
-            identity,
-            self.pipeline,
-            self.target_pool,
-            self.reporter,
-            self.clock,
-            self.rng,
-            self.metrics,
-        )
-        self.aggregator = Aggregator(self.serving, self.clock, self.metrics)
-        self.serving.aggregator = self.aggregator
-        self.crashes.excuse = self.aggregator.excuse
-        self.recovery = RecoveryTask(
-            self.serving, self.aggregator, self.clock, self.rng
-        )
-        self.pipeline.service_for = self.recovery.service_for
-        self.slot_coordinator = SlotCoordinator(
-            self.topology,
-            self.serving.service_of,
-            self.serving.usable_targets,
-            self.clock,
-        )
-        self.caller_server = CallerServer(
-            CallerApplication(self.pipeline, self.clock),
-            self.settings.caller.address,
-            self.settings.caller.port,
-            caller_limits(self.settings.caller),
-            self.clock,
-        )
-
-    def build_configuration(self):
-        """Make the tasks that follow the declaration and the host list."""
-        settings = self.settings
-        self.store = StoreClient(settings.platform.url, self.clock, self.metrics)
-        self.distribution = Distribution(
-            settings.host_id,
-            settings.failure_domain,
-            seed_addresses(settings.peers_seed),
-            self.rng,
-        )
-        self.configuration = ConfigurationTask(
-            self.distribution,
-            self.store,
-            self.peer_client,
-            self.clock,
-            self.rng,
-            self.on_declaration,
-            self.metrics,
-        )
-        self.host_list = HostListTask(
-            self.distribution,
-            ConfirmingHostListClient(self.store, self.clock, self.holder_view),
-            self.peer_client,
-            self.clock,
-            self.rng,
-            self.on_hosts,
-        )
-        self.bootstrap = BootstrapTask(
-            self.identity,
-            self.topology,
-            self.messenger,
-            self.store,
-            self.holder_view,
-            self.clock,
-            self.rng,
-        )
-
-    def register_messages(self):
-        """Route each kind of peer message to the task that owns its state."""
-        server = self.peer_server
-        self.configuration.register(server)
-        self.host_list.register(server)
-        self.claim_holder.register(server)
-        self.crashes.register(server)
-        self.slot_coordinator.register(server)
-        server.register("outcome_report", self.aggregator.receive_report)
-        server.register("status_request", self.answer_status)
+class Daemon(HostParts):
+    """One entry host: its messages, changes of configuration and life cycle."""
 
     # Messages between hosts
 
@@ -441,17 +212,6 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
-def caller_limits(settings):
-    """Return the limits of the caller port from its settings."""
-    limits = settings.limits
-    return CallerLimits(
-        connections=limits.max_connections,
-        header_bytes=limits.max_header_bytes,
-        header_s=limits.header_timeout_s,
-        body_gap_s=limits.body_idle_timeout_s,
-    )
-
-
 async def serve(settings):
     """Run one daemon until it is told to stop."""
     daemon = Daemon(settings)
