Create the bootstrap record only when every host of the region answers young

Cause: reading the at-most-once argument against the task. The task skipped hosts that did not answer, so one that had voted for long but was cut off could have been left out, and its claims with it; and one record for all regions would have put hosts of another region into a region's ranking. There is now one record a region, made by first_fleet_record, which refuses in both cases.

--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -67,7 +67,7 @@
         if request.kind == INCARNATION_KIND:
             document = {
                 "incarnation": self.identity.incarnation,
-                "may_vote": self.holder_view.is_old_enough(self.clock.now()),
+                "uptime_s": self.clock.now() - self.started_at,
             }
         else:
             document = self.status()
--- a/oleanderroute/tasks/bootstrap.py
+++ b/oleanderroute/tasks/bootstrap.py
@@ -1,18 +1,24 @@
 """Creates and reads the record of the first fleet that ever started."""
 
 import asyncio
-from dataclasses import dataclass
 
 import orjson
 
 from .. import events
-from ..decisions.claims import BootstrapMember, BootstrapRecord, RankedHost
+from ..decisions.claims import (
+    BootstrapMember,
+    BootstrapRecord,
+    RankedHost,
+    StartedHost,
+    first_fleet_record,
+)
 from ..decisions.ranking import rank
 from ..errors import PeerError, StoreConflict, StoreError
+from ..ids import Incarnation
 from ..peer.gen.oleander_messages.ttypes import StatusRequest
 from .base import DaemonTask
 
-RECORD_KEY = "claims/bootstrap"
+RECORD_KEY_PREFIX = "claims/bootstrap/"
 # Hosts of a first fleet start within this time of each other and of the list.
 SETTLE_S = 2.0
 RETRY_S = 2.0
@@ -20,20 +26,6 @@
 INCARNATION_KIND = "incarnation"
 
 
-@dataclass(frozen=True, slots=True)
-class HostAnswer:
-    """What a host says of its process.
-
-    Attributes
-    ----------
-    may_vote : bool
-        Whether it votes on claims already.
-    """
-
-    member: BootstrapMember
-    may_vote: bool
-
-
 class BootstrapTask(DaemonTask):
     """Lets the hosts of the first fleet vote on claims before they are old enough.
 
@@ -56,8 +48,7 @@
         self.view = view
         self.clock = clock
         self.rng = rng
-        self.started_at = clock.now()
-        self.is_settled = False
+        self.record_key = RECORD_KEY_PREFIX + identity.region
 
     async def run(self):
         """Wait for the record, or create it, until this host may vote by its age."""
@@ -69,7 +60,6 @@
                     record = await self.create()
                 if record is not None:
                     self.view.absorb_bootstrap(record, self.clock.now())
-                    self.is_settled = True
                     return
             except StoreError as error:
                 events.STORE_UNAVAILABLE.log(reason=str(error))
@@ -77,47 +67,55 @@
 
     async def read(self):
         """Return the stored record, or None."""
-        stored = await self.store.get(RECORD_KEY, cause="bootstrap")
+        stored = await self.store.get(self.record_key, cause="bootstrap")
         if stored is None:
             return None
         return decode_record(stored.value)
 
     async def create(self):
-        """Create the record if this host ranks first and no host is old.
+        """Create the record if this host ranks first and all hosts are young.
 
-        An older host may have granted claims that the record must not overlook.
+        Returns
+        -------
+        BootstrapRecord or None
+            None while a listed host does not answer, or has run for long enough to
+            hold claims that the record would overlook.
         """
-        hosts = self.topology.live_hosts()
-        if rank("bootstrap", hosts)[0] != self.identity.host_id:
+        hosts = self.region_hosts()
+        host_ids = [host.host_id for host in hosts]
+        if rank("bootstrap", host_ids)[0] != self.identity.host_id:
+            return None
+        started = [await self.ask_host(host) for host in hosts]
+        record = first_fleet_record(started, self.view.lifetime_s)
+        if record is None:
             return None
-        members = []
-        for host_id in hosts:
-            answer = await self.ask_host(self.topology.hosts[host_id])
-            if answer is None:
-                continue
-            if answer.may_vote:
-                return None
-            members.append(answer.member)
-        record = BootstrapRecord(tuple(members))
         try:
-            await self.store.put(RECORD_KEY, encode_record(record), 0)
+            await self.store.put(self.record_key, encode_record(record), 0)
         except StoreConflict:
             return await self.read()
-        events.CLAIMS_BOOTSTRAPPED.log(hosts=len(members))
+        events.CLAIMS_BOOTSTRAPPED.log(hosts=len(record.members))
         return record
 
+    def region_hosts(self):
+        """Return all listed hosts of this region: its claims are held among them."""
+        hosts = []
+        for host in self.topology.hosts.values():
+            if host.region == self.identity.region:
+                hosts.append(host)
+        return hosts
+
     async def ask_host(self, host):
-        """Return what a host says of its process, or None without an answer."""
+        """Return the ``StartedHost`` of one host."""
+        ranked = RankedHost(host.host_id, host.failure_domain)
         try:
             reply = await self.messenger.ask(
                 host, "status_request", StatusRequest(INCARNATION_KIND), ASK_TIMEOUT_S
             )
         except PeerError:
-            return None
+            return StartedHost(BootstrapMember(ranked, Incarnation(0)), None)
         document = orjson.loads(reply.document)
-        ranked = RankedHost(host.host_id, host.failure_domain)
         member = BootstrapMember(ranked, document["incarnation"])
-        return HostAnswer(member, document["may_vote"])
+        return StartedHost(member, document["uptime_s"])
 
 
 def encode_record(record):
