Retry attempts that sent nothing without spending the retry budget

Ruled out: the quarantine, which refused the crashing request as it should. An attempt that sent nothing now counts towards a bound of its own, 4 a request. The check is unchanged.

--- a/oleanderroute/commands/declarations.py
+++ b/oleanderroute/commands/declarations.py
@@ -23,6 +23,8 @@
 from ..platform.store import StoreClient
 from .output import CommandFailed, ExitCode, Output, Progress
 
+# One mistake often repeats over thousands of targets.
+MAX_PRINTED_PROBLEMS = 50
 DEFAULT_HISTORY_LENGTH = 20
 # Checking this much text takes long enough to say so.
 LARGE_TEXT_BYTES = 500_000
@@ -197,10 +199,19 @@
         f"{path}: {len(problems)} problem(s)",
         ExitCode.REFUSED,
         {"problems": documents},
-        () if output.as_json else [str(one) for one in problems],
+        () if output.as_json else problem_lines(problems),
     )
 
 
+def problem_lines(problems):
+    """Return one line for each of the first problems; --json has them all."""
+    lines = [str(problem) for problem in problems[:MAX_PRINTED_PROBLEMS]]
+    rest = len(problems) - len(lines)
+    if rest:
+        lines.append(f"and {rest} more; --json prints all")
+    return lines
+
+
 def print_differences(output, differences):
     """Print a list of differences."""
     lines = [str(one) for one in differences]
--- a/oleanderroute/entry/attempts.py
+++ b/oleanderroute/entry/attempts.py
@@ -32,6 +32,10 @@
 REQUEST_DEPENDENT_STATUSES = frozenset({501, 505})
 MAX_ATTEMPTS = 3
 MAX_SHED_RETRIES = 1
+# An attempt that sent nothing puts no load on a target, so it neither counts as an
+# attempt nor spends the retry budget, which broken requests need when targets die.
+UNSENT_KINDS = frozenset({AttemptKind.CONNECT_FAILED, AttemptKind.CANCELLED})
+MAX_UNSENT_RETRIES = 4
 # Pause between two questions for a long slot while the service has none free.
 LEASE_RETRY_S = 0.2
 OK_REASON = "ok"
@@ -244,7 +248,10 @@
         kind = result.kind
         if kind is AttemptKind.OK or not context.can_be_sent_again:
             return False
-        if context.attempts >= MAX_ATTEMPTS:
+        if kind in UNSENT_KINDS:
+            context.unsent_count += 1
+            return context.unsent_count <= MAX_UNSENT_RETRIES
+        if context.attempts - context.unsent_count >= MAX_ATTEMPTS:
             return False
         if context.may_have_run and not context.is_idempotent:
             return False
--- a/oleanderroute/entry/context.py
+++ b/oleanderroute/entry/context.py
@@ -36,6 +36,8 @@
         Whether a streamed body was handed to a target; it can't be sent again.
     shed_count : int
         Attempts that targets refused before start.
+    unsent_count : int
+        Attempts of which no byte was sent.
     ended_attempts : list of Attempt
         In the order of their ends, for the burn report.
     """
@@ -55,6 +57,7 @@
     attempts: int = 0
     body_consumed: bool = False
     shed_count: int = 0
+    unsent_count: int = 0
     ended_attempts: list[Attempt] = field(default_factory=list)
 
     def crash_fingerprint(self):
