--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,5 @@
 """A small fleet of real processes on loopback, for the demo, tests and benchmarks."""
 
-import asyncio
 import json
 import subprocess
 import sys
@@ -367,8 +366,3 @@
             return json.loads(response.read())
     except (OSError, ValueError):
         return None
-
-
-def run_async(coroutine):
-    """Run a coroutine from synchronous test code."""
-    return asyncio.run(coroutine)
--- a/oleanderroute/entry/gate.py
+++ b/oleanderroute/entry/gate.py
@@ -46,14 +46,14 @@
         try:
             return await future
         except asyncio.CancelledError:
-            self.withdraw(ticket, future)
+            self.withdraw(ticket)
             raise
         finally:
             self.waiting.pop(ticket.ticket_id, None)
             if not self.waiting:
                 self.busy_gates.discard(self)
 
-    def withdraw(self, ticket, future):
+    def withdraw(self, ticket):
         """Take a ticket out whose caller went away."""
         if not self.admission.cancel(ticket):
             # It was admitted in the same moment; its place goes to the next.
--- a/oleanderroute/tasks/reporter.py
+++ b/oleanderroute/tasks/reporter.py
@@ -101,7 +101,6 @@
         self.clock = clock
         self.outboxes = {}
         self.wake = asyncio.Event()
-        self.sent_at = 0.0
 
     def set_services(self, entries):
         """Follow the services of a new declaration.
