--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -198,3 +198,53 @@
   2: required Header header
   3: required ReplyBody body
 }
+
+// One finding about a target, from one host's own requests.
+struct Observation {
+  1: required string target_id
+  2: required i16 kind
+  // Milliseconds since the request was sent.
+  3: required i32 age_ms
+  4: optional i32 latency_ms
+  // Requests that run and wait at the target, and its slots.
+  5: optional i16 in_system
+  6: optional i16 slots
+}
+
+// A key of the platform's store; no value for one that was removed.
+struct ItemChange {
+  1: required string key
+  2: required i64 revision
+  3: optional binary value
+}
+
+// Datagram between hosts.
+struct Gossip {
+  1: required string host_id
+  2: required i64 incarnation
+  3: required i32 sequence
+  4: required string failure_domain
+  // Whether the receiver passes it on inside its failure domain.
+  5: required bool forward
+  // Revision of the store up to which the sender has followed all changes.
+  6: required i64 revision
+  // Milliseconds since the store confirmed that to the sender itself.
+  7: optional i32 confirmed_ms
+  8: optional list<Observation> observations
+  9: optional list<CrashNotice> crashes
+  // Changes between this revision and the one above, if they fit.
+  10: optional i64 changes_after
+  11: optional list<ItemChange> changes
+}
+
+struct CopyRequest {
+  1: required string host_id
+  2: required i64 after_revision
+}
+
+struct CopyReply {
+  1: required i64 revision
+  // Whether items holds all keys and not only what changed.
+  2: required bool is_complete
+  3: required list<ItemChange> items
+}
--- /dev/null
+++ b/oleanderroute/decisions/selection.py
@@ -0,0 +1,125 @@
+"""Chooses the target of a request by the credit that it is expected to lose."""
+
+from dataclasses import dataclass
+from math import exp
+
+from .health import TargetHealth
+from .latency import LatencySample
+
+# Targets whose expected losses differ by less than this are as good as equal;
+# choosing among them at random keeps hosts with the same view apart.
+JITTER = 0.04
+# Expected loss by another failure domain: its links cost and may be cut.
+OTHER_DOMAIN_LOSS = 0.01
+# An answer after the objective still has some worth.
+LATE_LOSS = 0.85
+COLD_LOSS = 0.15
+# An idempotent request may explore a target that is gray with this probability.
+EXPLORE_BELOW = 0.70
+# Longest time in seconds for which the want of news about a target counts.
+MAX_SILENCE_S = 3.0
+
+
+@dataclass(slots=True)
+class TargetView:
+    """What the choice needs to know of one target.
+
+    Attributes
+    ----------
+    reported_in_system : float
+        Requests that ran or waited at the target when it last told.
+    own_in_flight : int
+        Requests from this host that have not ended.
+    own_sent_at : float
+        When this host last sent it a request.
+    cold_until : float
+        Monotonic seconds.
+    """
+
+    entry: object
+    health: TargetHealth
+    reported_in_system: float = 0.0
+    reported_at: float = 0.0
+    own_in_flight: int = 0
+    own_sent_at: float = float("-inf")
+    cold_until: float = 0.0
+
+    def in_system(self, now, drain_s):
+        """Return an estimate of the requests at the target.
+
+        Parameters
+        ----------
+        drain_s : float
+            Mean time that a request stays there.
+        """
+        age_s = max(0.0, now - self.reported_at)
+        reported = self.reported_in_system * exp(-age_s / max(0.01, drain_s))
+        return max(reported, float(self.own_in_flight))
+
+    def silence_s(self, now):
+        """Return for how long nothing was heard from or sent to the target."""
+        heard_at = self.health.heard_at
+        latest = max(self.own_sent_at, heard_at if heard_at is not None else -1e9)
+        return min(MAX_SILENCE_S, now - latest)
+
+
+class Selector:
+    """Chooses among the targets of a service.
+
+    Parameters
+    ----------
+    failure_domain : FailureDomain
+        Of this host.
+    rng : random.Random
+    """
+
+    def __init__(self, failure_domain, rng):
+        self.failure_domain = failure_domain
+        self.rng = rng
+
+    def expected_loss(self, view, latencies: LatencySample, objective_s, now):
+        """Return the share of a request's worth that a target is expected to lose."""
+        fails = view.health.failure_chance(now)
+        median_s = latencies.quantile(0.5)
+        excess = view.in_system(now, median_s) + 1.0 - view.entry.slots
+        wait_s = max(0.0, excess) * median_s / view.entry.slots
+        late = latencies.share_above(objective_s - wait_s) if wait_s else 0.0
+        loss = fails + (1.0 - fails) * LATE_LOSS * late
+        # A queue also delays when the objective is far away.
+        loss += 0.1 * wait_s / objective_s
+        if view.cold_until > now:
+            loss += COLD_LOSS
+        if view.entry.failure_domain != self.failure_domain:
+            loss += OTHER_DOMAIN_LOSS
+        return loss
+
+    def best(self, views, latencies, objective_s, now):
+        """Return the view with about the least expected loss, or None."""
+        best = None
+        least = None
+        for view in views:
+            loss = self.expected_loss(view, latencies, objective_s, now)
+            loss += self.rng.uniform(0.0, JITTER)
+            if least is None or loss < least:
+                best, least = view, loss
+        return best
+
+    def explore(self, views, latencies, now):
+        """Return a target about which news is wanted most, or None.
+
+        Only idempotent requests may be spent on this.
+        """
+        drain_s = latencies.quantile(0.5)
+        weights = []
+        candidates = []
+        for view in views:
+            if view.health.failure_chance(now) > EXPLORE_BELOW:
+                continue
+            if view.in_system(now, drain_s) >= view.entry.slots + 1:
+                continue
+            silence_s = view.silence_s(now)
+            candidates.append(view)
+            weights.append(silence_s * silence_s + 1e-6)
+        if not candidates:
+            return None
+        return self.rng.choices(candidates, weights)[0]
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -4,6 +4,7 @@
 
 from ..errors import MalformedAnswer
 from .answer_stream import BUFFER_BYTES, BufferedStream
+from .dialect import OWN_DIALECT
 from .messages import DROPPED_FROM_ANSWER, TargetAnswer, answer_headers
 
 MAX_HEADERS = 200
@@ -15,15 +16,26 @@
     An exception in a callback stops the parser, which then refuses all input.
     """
 
-    def __init__(self):
+    def __init__(self, dialect=OWN_DIALECT):
+        self.dialect = dialect
         self.parser = None
         self.waiter = None
         self.stream = None
+        self.keep_alive_s = None
         self.reset_answer("")
 
-    def reset_answer(self, method):
-        """Prepare for the answer to a request with ``method``."""
+    def reset_answer(self, method, request_id=None):
+        """Prepare for the answer to a request with ``method``.
+
+        Parameters
+        ----------
+        request_id : bytes, optional
+            What the target repeats in the answer that belongs to the request.
+        """
         self.method = method
+        self.request_id = request_id
+        self.stray = False
+        self.until_close = False
         self.message_open = False
         self.head_complete = False
         self.answer_complete = False
@@ -47,7 +59,7 @@
 
     def on_header(self, name, value):
         """Collect a header; trailers after the body are dropped."""
-        if self.head_complete:
+        if self.head_complete or self.stray:
             return
         self.headers.append((name.lower(), value.rstrip(b" \t")))
 
@@ -63,8 +75,10 @@
         if status > 599 or len(self.headers) > MAX_HEADERS:
             raise MalformedAnswer("bad status or too many headers", True)
         self.status = status
-        self.head_complete = True
         length = self.read_answer_head()
+        if self.stray:
+            return
+        self.head_complete = True
         if self.method == "HEAD":
             # The parser can't be told that no body follows, so it is replaced.
             self.answer_complete = True
@@ -75,32 +89,52 @@
     def read_answer_head(self):
         """Build the answer from the headers and return the declared length.
 
-        An answer that is framed by the end of the connection is refused, because it
-        can't be told from one that broke off.
+        Without a length or chunks, the answer ends with its connection.
         """
         answer = TargetAnswer(self.status, self.headers, None)
         self.answer = answer
+        dialect = self.dialect
         length = -1
         chunked = False
         drop = False
         for name, value in self.headers:
             if name == b"content-length":
                 length = int(value)
-            elif name == b"x-not-started":
-                answer.not_started = self.status == 503 and value == b"1"
-            elif name == b"x-draining":
-                answer.draining = value == b"1"
+            elif name in dialect.names:
+                dialect.read_header(answer, name, value)
             elif name in DROPPED_FROM_ANSWER:
                 drop = True
                 if name == b"transfer-encoding":
                     chunked = value.lower() == b"chunked"
                 elif name == b"connection":
                     answer.closes = b"close" in value.lower()
+                elif name == b"keep-alive":
+                    self.keep_alive_s = read_keep_alive(value)
+        dialect.finish(answer)
         if drop:
             answer.headers = answer_headers(self.headers)
-        if length < 0 and not chunked and not self.has_no_body():
-            raise MalformedAnswer("answer without length", True)
-        return 0 if self.has_no_body() else length
+        if self.has_no_body():
+            length = 0
+        self.until_close = length < 0 and not chunked and not self.has_no_body()
+        self.stray = self.is_stray(answer, length < 0 and not chunked)
+        return length
+
+    def is_stray(self, answer, has_no_end):
+        """Tell whether the answer belongs to an earlier request.
+
+        Raises
+        ------
+        MalformedAnswer
+            If no other answer can follow it on the connection.
+        """
+        expected = self.request_id
+        if expected is None or answer.echoed_id is None:
+            return False
+        if answer.echoed_id == expected:
+            return False
+        if has_no_end or answer.closes:
+            raise MalformedAnswer("answer to another request", True)
+        return True
 
     def has_no_body(self):
         """Tell whether the answer ends with its headers."""
@@ -111,6 +145,8 @@
         if self.answer_complete:
             self.extra_bytes = True
             return
+        if self.stray:
+            return
         if self.stream is not None:
             self.stream.feed(data)
             return
@@ -123,7 +159,8 @@
         """Note the end of an answer; an interim one is skipped."""
         if self.answer_complete:
             return
-        if not self.head_complete:
+        if self.stray or not self.head_complete:
+            self.stray = False
             self.message_open = False
             return
         self.answer_complete = True
@@ -136,3 +173,12 @@
         self.answer.stream = self.stream
         if not self.waiter.done():
             self.waiter.set_result(self.answer)
+
+
+def read_keep_alive(value):
+    """Return the timeout in seconds of a ``Keep-Alive`` header, or None."""
+    for part in value.lower().split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name == b"timeout" and number.isdigit():
+            return int(number)
+    return None
--- a/oleanderroute/entry/app.py
+++ b/oleanderroute/entry/app.py
@@ -91,7 +91,7 @@
             return
         request = self.make_request(scope, receive)
         answer = await self.handle(request)
-        headers = answer_head(answer, request.request_id)
+        headers = self.answer_headers(answer, request)
         status = answer.status
         body = answer.body
         start = {"type": "http.response.start", "status": status, "headers": headers}
@@ -103,6 +103,10 @@
         await send(start)
         await send({"type": "http.response.body", "body": body})
 
+    def answer_headers(self, answer, request):
+        """Return the headers of an answer."""
+        return answer_head(answer, request.request_id)
+
     def make_request(self, scope, receive):
         """Return the ``CallerRequest`` of an ASGI scope."""
         raw_target = scope["raw_path"]
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -60,12 +60,11 @@
 
     Parameters
     ----------
-    limits : CallerLimits
     clock : Clock
     sweep : DeadlineSweep
         Calls ``deadline_passed`` when ``deadline`` is over.
     gate : CallerGate
-        Tells whether the server drains.
+        Holds the limits in force and tells whether the server drains.
     """
 
     def __init__(
@@ -75,13 +74,11 @@
         app_state,
         _loop=None,
         *,
-        limits,
         clock,
         sweep,
         gate,
     ):
         super().__init__(config, server_state, app_state, _loop)
-        self.limits = limits
         self.clock = clock
         self.sweep = sweep
         self.gate = gate
@@ -101,6 +98,19 @@
         self.content_length = None
         self.transfer_encoding = None
 
+    @property
+    def limits(self):
+        """The ``CallerLimits`` in force."""
+        return self.gate.limits
+
+    def extend_idle(self, idle_s):
+        """Keep a connection that is idle now for ``idle_s`` seconds more at least."""
+        cycle = self.cycle
+        if self.in_headers or self.lingering:
+            return
+        if cycle is None or cycle.response_complete:
+            self.deadline = max(self.deadline, self.clock.now() + idle_s)
+
     # Events of the transport
 
     def connection_made(self, transport):
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -232,6 +232,8 @@
         End-to-end headers without framing, see ``request_headers``.
     content_length : int or None
         Length in bytes of a ``BodyReader``; None means chunked. Ignored for bytes.
+    request_id : bytes or None
+        What the target repeats in its answer, if its dialect has such a header.
     """
 
     method: str
@@ -239,6 +241,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes | BodyReader = b""
     content_length: int | None = None
+    request_id: bytes | None = None
 
 
 class AnswerStream(ABC):
@@ -282,6 +285,12 @@
         Whether the target announced that it leaves.
     closes : bool
         Whether the target closes this connection after the answer.
+    misdirected : bool
+        Whether another target than the expected one refused the request.
+    load : tuple of int or None
+        Requests that run, that wait, and slots, as the target told them.
+    echoed_id : bytes or None
+        Id of the request that the target says it answers.
     """
 
     status: int
@@ -290,6 +299,9 @@
     not_started: bool = False
     draining: bool = False
     closes: bool = False
+    misdirected: bool = False
+    load: tuple[int, int, int] | None = None
+    echoed_id: bytes | None = None
     stream: AnswerStream | None = field(default=None, repr=False)
 
     def chunks(self):
--- a/oleanderroute/entry/server.py
+++ b/oleanderroute/entry/server.py
@@ -27,11 +27,13 @@
 
     Attributes
     ----------
+    limits : CallerLimits
     draining : bool
         Whether answers carry ``Connection: close``.
     """
 
-    def __init__(self):
+    def __init__(self, limits):
+        self.limits = limits
         self.draining = False
 
 
@@ -52,15 +54,13 @@
     def __init__(self, application, address, port, limits=None, clock=None):
         self.address = address
         self.port = port
-        self.limits = limits or CallerLimits()
         self.clock = clock or SystemClock()
         self.sweep = DeadlineSweep(self.clock, SWEEP_INTERVAL_S)
-        self.gate = CallerGate()
+        self.gate = CallerGate(limits or CallerLimits())
         self.config = uvicorn.Config(
             application,
             http=functools.partial(
                 CallerProtocol,
-                limits=self.limits,
                 clock=self.clock,
                 sweep=self.sweep,
                 gate=self.gate,
@@ -104,6 +104,15 @@
         self.server.lifespan = self.config.lifespan_class(self.config)
         await self.server.startup(sockets=[sock])
 
+    def set_limits(self, limits):
+        """Bring other limits into force, also for open connections.
+
+        A connection that is idle now may have been promised the new idle time.
+        """
+        self.gate.limits = limits
+        for connection in list(self.connections):
+            connection.extend_idle(limits.idle_s)
+
     def begin_draining(self):
         """Let answers carry ``Connection: close``; new connections are accepted."""
         self.gate.draining = True
--- a/oleanderroute/entry/target_connection.py
+++ b/oleanderroute/entry/target_connection.py
@@ -19,10 +19,14 @@
     MalformedAnswer,
 )
 from .answer_parser import AnswerParser
+from .dialect import OWN_DIALECT
 from .messages import BodyReader
 from .request_writer import copy_body, encode_head
 
 MAX_HEADER_BYTES = 64 * 1024
+# A request must reach a target before the target closes an idle connection; this
+# covers the way there and the rounding of the announced time.
+KEEP_ALIVE_MARGIN_S = 1.0
 
 # Bound once, because looking up an enum member costs more than the transition.
 IDLE = ConnectionState.IDLE
@@ -45,10 +49,11 @@
     clock : Clock
     sweep : DeadlineSweep
         Calls ``deadline_passed`` when ``deadline`` is over.
+    dialect : TargetDialect
     """
 
-    def __init__(self, owner, serial, clock, sweep):
-        super().__init__()
+    def __init__(self, owner, serial, clock, sweep, dialect=OWN_DIALECT):
+        super().__init__(dialect)
         self.owner = owner
         self.serial = serial
         self.clock = clock
@@ -119,7 +124,11 @@
             self.fail(MalformedAnswer, f"header section over {MAX_HEADER_BYTES} bytes")
 
     def eof_received(self):
-        """Let the transport close; ``connection_lost`` judges the exchange."""
+        """Complete an answer that ends with its connection; let it close."""
+        if self.waiter is not None and self.head_complete and self.until_close:
+            self.answer_complete = True
+            self.keep_alive = False
+            self.finish()
         return False
 
     def connection_lost(self, error):
@@ -159,8 +168,16 @@
         """
         if self.state is not IDLE or self.transport.is_closing():
             return False
+        if self.clock.now() >= self.idle_until():
+            return False
         return not self.poll.poll(0)
 
+    def idle_until(self):
+        """Return until when the target keeps the idle connection, with a margin."""
+        if self.keep_alive_s is None:
+            return inf
+        return self.idle_since + self.keep_alive_s - KEEP_ALIVE_MARGIN_S
+
     async def exchange(self, request, first_byte_s, between_bytes_s):
         """Send a request and return the ``TargetAnswer``.
 
@@ -179,7 +196,7 @@
         """
         self.move(STARTED)
         self.exchanges += 1
-        self.reset_answer(request.method)
+        self.reset_answer(request.method, request.request_id)
         self.first_byte_s = first_byte_s
         self.between_bytes_s = between_bytes_s
         self.bytes_sent = False
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -6,6 +6,7 @@
 from ..clock import SystemClock
 from ..errors import ConnectFailed, TargetError
 from .deadlines import DeadlineSweep
+from .dialect import OWN_DIALECT
 from .target_connection import TargetConnection
 
 DEFAULT_CONNECTION_LIMIT = 8
@@ -54,6 +55,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def same_endpoint(one, other):
+    """Tell whether two entries of a target name one run of it at one address."""
+    if (one.address, one.port) != (other.address, other.port):
+        return False
+    return getattr(one, "started_ms", 0) == getattr(other, "started_ms", 0)
+
+
 class TargetConnections:
     """The connections to one target.
 
@@ -66,7 +74,8 @@
     sweep : DeadlineSweep
     """
 
-    def __init__(self, target, limit, clock, sweep):
+    def __init__(self, target, limit, clock, sweep, dialect=OWN_DIALECT):
+        self.dialect = dialect
         self.target = target
         self.limit = limit
         self.clock = clock
@@ -102,7 +111,9 @@
                 loop = asyncio.get_running_loop()
                 await loop.sock_connect(sock, (target.address, target.port))
                 self.opened += 1
-                connection = TargetConnection(self, self.opened, self.clock, self.sweep)
+                connection = TargetConnection(
+                    self, self.opened, self.clock, self.sweep, self.dialect
+                )
                 await loop.create_connection(lambda: connection, sock=sock)
         except (OSError, TimeoutError) as error:
             sock.close()
@@ -175,6 +186,7 @@
         Identity of this host, for diagnosis.
     clock : Clock
     connect_timeout_s : float
+    dialect : TargetDialect
     """
 
     def __init__(
@@ -183,11 +195,13 @@
         failure_domain,
         clock=None,
         connect_timeout_s=CONNECT_TIMEOUT_S,
+        dialect=OWN_DIALECT,
     ):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.clock = clock or SystemClock()
         self.connect_timeout_s = connect_timeout_s
+        self.dialect = dialect
         self.sweep = DeadlineSweep(self.clock, SWEEP_INTERVAL_S)
         self.targets = {}
         self.limits = {}
@@ -230,14 +244,13 @@
         connections = self.targets.get(target.target_id)
         if connections is not None:
             known = connections.target
-            if known is target or (known.address, known.port) == (
-                target.address,
-                target.port,
-            ):
+            if known is target or same_endpoint(known, target):
                 return connections
             self.close_target(target.target_id)
         limit = self.limits.get(target.target_id, DEFAULT_CONNECTION_LIMIT)
-        connections = TargetConnections(target, limit, self.clock, self.sweep)
+        connections = TargetConnections(
+            target, limit, self.clock, self.sweep, self.dialect
+        )
         self.targets[target.target_id] = connections
         if self.idle_timer is None:
             self.check_idle()
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -68,6 +68,38 @@
     """A value exceeds the size limit of the store."""
 
 
+class StoreRefused(StoreUnavailable):
+    """The store refused a call and did nothing."""
+
+
+class HistoryLost(StoreError):
+    """The store discarded the changes that a watch asked for."""
+
+
+class LeaseUnknown(StoreError):
+    """The store does not know a lease any more."""
+
+
+class TransactionConflict(StoreError):
+    """A conditional write found another revision of its key."""
+
+
+class DocumentError(OleanderError):
+    """A document of the platform can't be used.
+
+    Parameters
+    ----------
+    path : str
+        Place of the offending value in the document.
+    reason : str
+    """
+
+    def __init__(self, path, reason):
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
 class PeerError(OleanderError):
     """A message exchange with another host failed."""
 
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -325,3 +325,192 @@
     ),
     "Look at the targets of the service with oleanderctl explain.",
 )
+
+# 600-699: hosts on the platform
+SETTINGS_REFUSED = define(
+    600,
+    "settings_refused",
+    "A settings file can't be used; what was in force stays.",
+    Level.ERROR,
+    ("path", "reason"),
+    "Correct the field at the path; the platform writes this file.",
+)
+SETTINGS_RELOADED = define(
+    601,
+    "settings_reloaded",
+    "Changed settings are in force.",
+    Level.INFO,
+    ("host",),
+)
+STORE_LOST = define(
+    610,
+    "store_lost",
+    "Calls of this host to the store began to fail.",
+    Level.WARNING,
+    ("reason",),
+    "Tell the platform's operators if it lasts; what is in force stays so.",
+)
+STORE_REGAINED = define(
+    611,
+    "store_regained",
+    "The store answers this host again.",
+    Level.INFO,
+    ("revision",),
+)
+STORE_NEWS_RESUMED = define(
+    612,
+    "store_news_resumed",
+    "News of the store arrives again, by any host, after a gap.",
+    Level.INFO,
+    ("gap_s",),
+)
+STORE_ITEM_UNREADABLE = define(
+    613,
+    "store_item_unreadable",
+    "An item in an answer of the store can't be read; the others are used.",
+    Level.WARNING,
+    ("key", "reason"),
+    "Tell the platform's operators which writer made the key.",
+)
+HISTORY_LOST = define(
+    614,
+    "history_lost",
+    "The store discarded changes that this host lacks; it reads all items.",
+    Level.INFO,
+    ("revision", "reason"),
+)
+FIRST_COPY_LOADED = define(
+    615,
+    "first_copy_loaded",
+    "A first configuration is in force; requests are served.",
+    Level.INFO,
+    ("source", "revision", "targets"),
+)
+WATCH_ROLE_CHANGED = define(
+    616,
+    "watch_role_changed",
+    "This host began or ceased to watch the store for its failure domain.",
+    Level.INFO,
+    ("watching", "revision"),
+)
+LEASE_LOST = define(
+    617,
+    "lease_lost",
+    "The store ended the lease of this host's announcement; a new one follows.",
+    Level.INFO,
+    ("lease",),
+)
+REGISTRATION_DELAYED = define(
+    618,
+    "registration_delayed",
+    "This host could not announce or withdraw itself; it tries again.",
+    Level.INFO,
+    ("reason",),
+)
+COPY_FAILED = define(
+    619,
+    "copy_failed",
+    "A copy of the store's items did not get from one host to another.",
+    Level.INFO,
+    ("peer", "reason"),
+)
+GOSSIP_REJECTED = define(
+    620,
+    "gossip_rejected",
+    "A datagram could not be decoded; it was dropped.",
+    Level.WARNING,
+    ("source", "reason"),
+    "Find out which process sends to the gossip port.",
+)
+CONFIGURATION_IN_FORCE = define(
+    630,
+    "configuration_in_force",
+    "A new version of the configuration is in force.",
+    Level.INFO,
+    ("version", "routes", "revision"),
+)
+CONFIGURATION_REFUSED = define(
+    631,
+    "configuration_refused",
+    "A configuration is unreadable or not newer; the one in force stays.",
+    Level.WARNING,
+    ("reason", "version"),
+    "Correct the field that the reason names and write the configuration again.",
+)
+TARGET_ADDED = define(
+    640,
+    "target_added",
+    "A target registered itself.",
+    Level.INFO,
+    ("target", "service"),
+)
+TARGET_LEAVING = define(
+    641,
+    "target_leaving",
+    "A target announced its stop; it gets no new requests.",
+    Level.INFO,
+    ("target", "revision"),
+)
+TARGET_GONE = define(
+    642,
+    "target_gone",
+    "The entry of a target is gone; it gets no new requests.",
+    Level.INFO,
+    ("target", "service"),
+)
+TARGET_ENTRY_REFUSED = define(
+    643,
+    "target_entry_refused",
+    "An entry names no usable target; it is left out.",
+    Level.WARNING,
+    ("target", "reason"),
+    "Find out which writer made the entry.",
+)
+HOST_ENTRY_REFUSED = define(
+    644,
+    "host_entry_refused",
+    "An entry names no usable host; it is left out.",
+    Level.WARNING,
+    ("host", "reason"),
+    "Find out which writer made the entry.",
+)
+TARGET_BELIEF_CHANGED = define(
+    645,
+    "target_belief_changed",
+    "A target is now thought to be in a gray phase, or out of it.",
+    Level.INFO,
+    ("target", "gray", "cut", "finding", "own"),
+)
+FINGERPRINT_QUARANTINED = define(
+    646,
+    "fingerprint_quarantined",
+    "A request ended the targets that ran it; it is refused from now on.",
+    Level.WARNING,
+    ("fingerprint", "target", "request"),
+    "Ask the caller's owner to stop the request.",
+)
+REQUEST_FINISHED = define(
+    660,
+    "request_finished",
+    "A request ended; the sends say to which targets it went and what was believed.",
+    Level.INFO,
+    (
+        "request",
+        "route",
+        "service",
+        "version",
+        "status",
+        "reason",
+        "elapsed_ms",
+        "limit_ms",
+        "sends",
+        "left_out",
+    ),
+)
+REQUEST_WITHOUT_ROUTE = define(
+    661,
+    "request_without_route",
+    "A request was refused before a route was found.",
+    Level.INFO,
+    ("request", "path", "reason", "version", "news_age_s", "left_out"),
+)
--- /dev/null
+++ b/oleanderroute/host/application.py
@@ -0,0 +1,47 @@
+"""ASGI applications of a host: callers, readiness and metrics."""
+
+import falcon
+import falcon.asgi
+
+from ..entry.app import CallerApplication
+from ..operator.exposition import metrics_page, page_headers
+
+
+class HostApplication(CallerApplication):
+    """Answers callers without the headers of the project's own interface."""
+
+    def answer_headers(self, answer, request):
+        """Return the headers of an answer."""
+        return list(answer.headers)
+
+
+class Readiness:
+    """Answers the balancer's question whether new connections are welcome."""
+
+    def __init__(self, is_ready):
+        self.is_ready = is_ready
+
+    async def on_get(self, request, response):
+        """Answer 200 or 503."""
+        response.status = 200 if self.is_ready() else 503
+
+
+class MetricsPage:
+    """Serves the metrics."""
+
+    def __init__(self, metrics):
+        self.metrics = metrics
+
+    async def on_get(self, request, response):
+        """Answer the page in Prometheus' text format."""
+        response.data = await metrics_page(self.metrics.registry)
+        for name, value in page_headers().items():
+            response.set_header(name, value)
+
+
+def status_application(is_ready, metrics):
+    """Build the application of the readiness port."""
+    application = falcon.asgi.App()
+    application.add_route("/readiness", Readiness(is_ready))
+    application.add_route("/metrics", MetricsPage(metrics))
+    return application
--- /dev/null
+++ b/oleanderroute/host/copies.py
@@ -0,0 +1,111 @@
+"""Copies of the store's items between hosts, by TCP."""
+
+import asyncio
+
+from .. import events
+from ..errors import MessageRejected, PeerTimeout, PeerUnreachable
+from ..peer.codec import (
+    FRAME_LENGTH,
+    MAX_FRAME_BYTES,
+    decode_message,
+    encode_frame,
+)
+from ..peer.gen.oleander_messages.ttypes import CopyReply, CopyRequest, ItemChange
+from .model import StoreItem
+
+# A copy of some hundred items takes milliseconds.
+EXCHANGE_TIMEOUT_S = 0.8
+
+
+async def read_frame(reader):
+    """Return the body of one frame.
+
+    Raises
+    ------
+    MessageRejected
+    """
+    (length,) = FRAME_LENGTH.unpack(await reader.readexactly(FRAME_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise MessageRejected(f"oversized frame: {length} bytes")
+    return await reader.readexactly(length)
+
+
+class CopyServer:
+    """Answers hosts that ask for the items they lack.
+
+    Parameters
+    ----------
+    view : FleetView
+    """
+
+    def __init__(self, view):
+        self.view = view
+        self.server = None
+
+    async def start(self):
+        """Open the listening socket."""
+        settings = self.view.settings
+        self.server = await asyncio.start_server(
+            self.serve, settings.address, settings.control_port
+        )
+
+    def close(self):
+        """Close the listener."""
+        if self.server is not None:
+            self.server.close()
+
+    async def serve(self, reader, writer):
+        """Answer one request and close the connection."""
+        try:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+                request = decode_message(CopyRequest(), await read_frame(reader))
+                writer.write(encode_frame(self.make_reply(request)))
+                await writer.drain()
+        except (OSError, EOFError, TimeoutError, MessageRejected) as error:
+            events.COPY_FAILED.log(peer="caller", reason=repr(error))
+        finally:
+            writer.close()
+
+    def make_reply(self, request):
+        """Return the changes that the requester lacks, or all items."""
+        replica = self.view.replica
+        changes = replica.changes_after(request.after_revision)
+        is_complete = changes is None
+        if is_complete:
+            changes = list(replica.items.values())
+        items = []
+        for item in changes:
+            items.append(ItemChange(item.key, item.revision, item.value))
+        return CopyReply(replica.revision, is_complete, items)
+
+
+async def fetch_copy(address, port, host_id, after_revision):
+    """Ask another host for the items after a revision.
+
+    Returns
+    -------
+    revision : int
+    is_complete : bool
+        Whether the items are all that the store has.
+    items : list of StoreItem
+
+    Raises
+    ------
+    PeerTimeout, PeerUnreachable, MessageRejected
+    """
+    try:
+        async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(address, port)
+            try:
+                writer.write(encode_frame(CopyRequest(host_id, after_revision)))
+                reply = decode_message(CopyReply(), await read_frame(reader))
+            finally:
+                writer.close()
+    except TimeoutError as error:
+        raise PeerTimeout(f"{address}:{port}") from error
+    except (OSError, EOFError) as error:
+        raise PeerUnreachable(f"{address}:{port}: {error!r}") from error
+    items = []
+    for change in reply.items:
+        items.append(StoreItem(change.key, change.revision, change.value))
+    return reply.revision, reply.is_complete, items
--- /dev/null
+++ b/oleanderroute/host/exchange.py
@@ -0,0 +1,87 @@
+"""State of one caller's request on its way to an answer."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..entry.messages import BodyHead, CallerRequest
+from ..ids import ServiceName, TargetId
+from .model import HostRoute
+
+
+class SendResult(Enum):
+    """How one send to a target ended."""
+
+    ANSWERED = "answered"
+    # The target answered that it did not run the request.
+    NOT_RUN = "not-run"
+    # No byte left this host.
+    NOT_SENT = "not-sent"
+    BROKEN = "broken"
+    MALFORMED = "malformed"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True)
+class SendRecord:
+    """One send, as the log tells it."""
+
+    target_id: TargetId
+    started_at: float
+    gray: float
+    cut: float
+    result: SendResult | None = None
+    elapsed_s: float = 0.0
+    status: int = 0
+
+    def describe(self):
+        """Return the fields for the log."""
+        return {
+            "target": self.target_id,
+            "gray": round(self.gray, 3),
+            "cut": round(self.cut, 3),
+            "result": self.result.value if self.result else "open",
+            "status": self.status,
+            "elapsed_ms": int(self.elapsed_s * 1000),
+        }
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Id under which the caller sent the request.
+    deadline_at : float
+        Monotonic seconds at which the caller or the route gives up.
+    base_headers : list of tuple of bytes
+        Headers that all sends share.
+    sends : list of SendRecord
+    arrivals : int
+        Sends of which a target may have read a byte.
+    may_have_run : bool
+        Whether a target may have started it.
+    body_consumed : bool
+        Whether a streamed body has been handed to a target.
+    """
+
+    request: CallerRequest
+    route: HostRoute
+    service: ServiceName
+    attempt_id: str
+    attempt_id_bytes: bytes | None
+    deadline_at: float
+    version: int
+    base_headers: list
+    head: BodyHead = field(default_factory=lambda: BodyHead(b"", True))
+    sends: list[SendRecord] = field(default_factory=list)
+    tried: set[TargetId] = field(default_factory=set)
+    arrivals: int = 0
+    may_have_run: bool = False
+    body_consumed: bool = False
+
+    def may_send_again(self):
+        """Tell whether the route and the body allow another send."""
+        return self.arrivals < self.route.max_targets and not self.body_consumed
--- /dev/null
+++ b/oleanderroute/host/fleetview.py
@@ -0,0 +1,277 @@
+"""What this host knows: the configuration in force, targets, hosts and beliefs."""
+
+from .. import events
+from ..decisions.allowance import RepeatAllowance
+from ..decisions.health import Finding, TargetHealth
+from ..decisions.latency import LatencySample
+from ..decisions.replica import StoreReplica
+from ..decisions.selection import TargetView
+from ..errors import DocumentError
+from .routes import PrefixRoutes
+
+# A gap this long between two confirmations by the store means that it was away. A
+# healthy watcher confirms every two seconds at the latest.
+OUTAGE_GAP_S = 2.6
+# Registrations that lapsed while the store was away return within two seconds of
+# its own return.
+RETURN_TIME_S = 2.2
+
+
+class FleetView:
+    """State of one host, kept up to date by the store's items and by findings.
+
+    Parameters
+    ----------
+    settings : HostSettings
+    formats : object
+        Decodes the platform's documents: ``read_configuration``, ``read_target``,
+        ``read_host`` and the key names.
+    clock : Clock
+    pool : TargetPool
+    """
+
+    def __init__(self, settings, formats, clock, pool):
+        self.settings = settings
+        self.formats = formats
+        self.clock = clock
+        self.pool = pool
+        self.replica = StoreReplica()
+        self.configuration = None
+        self.routes = PrefixRoutes(())
+        self.targets = {}
+        self.services = {}
+        self.hosts = {}
+        self.heard_at = {}
+        self.latencies = {}
+        self.allowances = {}
+        self.recovered_at = float("-inf")
+        # Targets whose entry vanished while the store was recovering.
+        self.held = {}
+        self.on_configuration = []
+
+    # Items of the store
+
+    def apply(self, items):
+        """Take changes of the store and return those that were news."""
+        news = []
+        for item in items:
+            if self.replica.apply(item):
+                self.item_changed(item)
+                news.append(item)
+        return news
+
+    def apply_listing(self, prefix, items, revision):
+        """Take a complete listing of a prefix."""
+        for item in self.replica.replace(prefix, items, revision):
+            self.item_changed(item)
+
+    def confirmed(self, at):
+        """Note that the store confirmed the replica's revision at ``at``."""
+        replica = self.replica
+        before = replica.confirmed_at
+        if before is not None and at <= before:
+            return
+        replica.confirmed_at = at
+        if before is not None and at - before > OUTAGE_GAP_S:
+            self.recovered_at = at
+            events.STORE_NEWS_RESUMED.log(gap_s=round(at - before, 2))
+
+    def item_changed(self, item):
+        """Bring one changed item into force."""
+        formats = self.formats
+        if item.key == formats.CONFIGURATION_KEY:
+            self.configuration_changed(item)
+        elif item.key.startswith(formats.TARGET_PREFIX):
+            self.target_changed(item)
+        elif item.key.startswith(formats.HOST_PREFIX):
+            self.host_changed(item)
+
+    def configuration_changed(self, item):
+        """Bring a configuration into force unless it is older or unreadable."""
+        if item.value is None:
+            events.CONFIGURATION_REFUSED.log(reason="the key was removed", version=0)
+            return
+        try:
+            found = self.formats.read_configuration(item.value)
+        except DocumentError as error:
+            events.CONFIGURATION_REFUSED.log(reason=str(error), version=0)
+            return
+        current = self.configuration
+        if current is not None and found.version <= current.version:
+            events.CONFIGURATION_REFUSED.log(
+                reason=f"version {current.version} is in force", version=found.version
+            )
+            return
+        self.configuration = found
+        self.routes = PrefixRoutes(found.routes)
+        self.update_limits()
+        events.CONFIGURATION_IN_FORCE.log(
+            version=found.version, routes=len(found.routes), revision=item.revision
+        )
+        for listener in self.on_configuration:
+            listener(found)
+
+    def target_changed(self, item):
+        """Add, change or remove a target."""
+        formats = self.formats
+        target_id = item.key.removeprefix(formats.TARGET_PREFIX)
+        now = self.clock.now()
+        if item.value is None:
+            self.target_vanished(target_id, now)
+            return
+        try:
+            entry = formats.read_target(item.key, item.value)
+        except DocumentError as error:
+            events.TARGET_ENTRY_REFUSED.log(target=target_id, reason=str(error))
+            self.drop_target(target_id)
+            return
+        self.held.pop(target_id, None)
+        view = self.targets.get(target_id)
+        if view is None or view.entry.incarnation != entry.incarnation:
+            self.drop_target(target_id)
+            view = TargetView(entry, TargetHealth(now))
+            self.targets[target_id] = view
+            events.TARGET_ADDED.log(target=target_id, service=entry.service)
+        elif view.entry.service != entry.service:
+            self.services[view.entry.service].pop(target_id, None)
+        if entry.is_leaving and not view.entry.is_leaving:
+            events.TARGET_LEAVING.log(target=target_id, revision=item.revision)
+        view.entry = entry
+        view.cold_until = now + entry.cold_s if entry.cold_s else 0.0
+        self.services.setdefault(entry.service, {})[target_id] = view
+        self.pool.set_connection_limit(target_id, self.connection_limit(entry.service))
+
+    def target_vanished(self, target_id, now):
+        """Remove a target, or wait for its return while the store recovers."""
+        return_by = self.recovered_at + RETURN_TIME_S
+        view = self.targets.get(target_id)
+        if view is None:
+            return
+        if now < return_by and not view.entry.is_leaving:
+            self.held[target_id] = return_by
+            return
+        events.TARGET_GONE.log(target=target_id, service=view.entry.service)
+        self.drop_target(target_id)
+
+    def release_held(self, now):
+        """Remove the targets that did not return in time after an outage."""
+        for target_id, return_by in list(self.held.items()):
+            if now < return_by:
+                continue
+            del self.held[target_id]
+            view = self.targets.get(target_id)
+            if view is not None:
+                events.TARGET_GONE.log(target=target_id, service=view.entry.service)
+                self.drop_target(target_id)
+
+    def drop_target(self, target_id):
+        """Forget a target; requests in flight end by themselves."""
+        self.held.pop(target_id, None)
+        view = self.targets.pop(target_id, None)
+        if view is None:
+            return
+        self.services[view.entry.service].pop(target_id, None)
+        self.pool.close_target(target_id)
+
+    def host_changed(self, item):
+        """Add or remove another host."""
+        host_id = item.key.removeprefix(self.formats.HOST_PREFIX)
+        if item.value is None:
+            self.hosts.pop(host_id, None)
+        else:
+            try:
+                host = self.formats.read_host(item.key, item.value)
+            except DocumentError as error:
+                events.HOST_ENTRY_REFUSED.log(host=host_id, reason=str(error))
+                return
+            self.hosts[host_id] = host
+        self.update_limits()
+
+    # Derived limits
+
+    @property
+    def host_count(self):
+        """Hosts that share the fleet's bounds, this one included."""
+        return len(self.hosts.keys() | {self.settings.host_id})
+
+    def connection_limit(self, service):
+        """Return how many connections this host may open to one target."""
+        policy = None
+        if self.configuration is not None:
+            policy = self.configuration.services.get(service)
+        if policy is None:
+            return 4
+        return max(2, policy.connection_limit // (2 * self.host_count))
+
+    def update_limits(self):
+        """Share the targets' connections among the hosts that are known now."""
+        for target_id, view in self.targets.items():
+            limit = self.connection_limit(view.entry.service)
+            self.pool.set_connection_limit(target_id, limit)
+
+    # Questions of the request path
+
+    def is_current(self, now):
+        """Tell whether news of the store has arrived recently."""
+        confirmed_at = self.replica.confirmed_at
+        return confirmed_at is not None and now - confirmed_at < OUTAGE_GAP_S
+
+    def usable(self, service):
+        """Return the views of the targets that may get new requests."""
+        found = []
+        for view in self.services.get(service, {}).values():
+            if not view.entry.is_leaving:
+                found.append(view)
+        return found
+
+    def latencies_of(self, service):
+        """Return the latency sample of a service."""
+        sample = self.latencies.get(service)
+        if sample is None:
+            sample = self.latencies[service] = LatencySample()
+        return sample
+
+    def allowance_of(self, service):
+        """Return the bound on repeated sends to a service."""
+        allowance = self.allowances.get(service)
+        if allowance is None:
+            settings = self.settings
+            allowance = self.allowances[service] = RepeatAllowance(
+                settings.retry_ratio, settings.retry_allowance, settings.retry_window_s
+            )
+        return allowance
+
+    # Findings
+
+    def observe(self, target_id, finding, sent_at, is_own, latency_s=None, load=None):
+        """Take a finding of this or another host about a target.
+
+        Parameters
+        ----------
+        load : tuple of int, optional
+            Requests at the target and its slots.
+        """
+        view = self.targets.get(target_id)
+        if view is None:
+            return
+        now = self.clock.now()
+        before = view.health.gray
+        view.health.observe(finding, sent_at, now, is_own)
+        if load is not None:
+            view.reported_in_system = float(load[0])
+            view.reported_at = now
+        if latency_s is not None and finding is Finding.GOOD:
+            self.latencies_of(view.entry.service).add(latency_s)
+        self.log_turn(target_id, before, view.health, finding, is_own)
+
+    def log_turn(self, target_id, before, health, finding, is_own):
+        """Log when the belief about a target crosses one half."""
+        if (before > 0.5) == (health.gray > 0.5):
+            return
+        events.TARGET_BELIEF_CHANGED.log(
+            target=target_id,
+            gray=round(health.gray, 3),
+            cut=round(health.cut, 3),
+            finding=finding.name.lower(),
+            own=is_own,
+        )
--- /dev/null
+++ b/oleanderroute/host/follower.py
@@ -0,0 +1,263 @@
+"""Follows the platform's store: by own calls, or through hosts that make them."""
+
+import asyncio
+
+from .. import events
+from ..decisions.ranking import rank
+from ..errors import HistoryLost, LeaseUnknown, PeerError, StoreError
+from .copies import fetch_copy
+
+# Length of a long poll. A connection that went silent is noticed this much later.
+WATCH_S = 1.5
+# Pause between two long polls that had news; it gathers several changes in a call.
+GATHER_S = 0.15
+# A host starts to watch by itself when it has not heard a watcher for this long.
+WATCHER_SILENT_S = 0.9
+IDLE_S = 0.1
+# Bounds of the pause after a failed call; spread, so that hosts come back apart.
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 0.5
+# While others still hear the store, a host that it refuses tries less often.
+RETRY_OTHERS_WELL_S = 1.2
+# Time for other copies of the same news to arrive before it is fetched.
+FETCH_DELAY_S = 0.05
+LEASE_S = 12.0
+RENEW_S = 4.0
+ALL_KEYS = ""
+
+
+class StoreFollower:
+    """Keeps the replica of one host up to date.
+
+    Parameters
+    ----------
+    view : FleetView
+    store : KvClient
+    gossip : GossipTask
+    formats : object
+        Key names and the announcement of this host.
+    clock : Clock
+    rng : random.Random
+    """
+
+    def __init__(self, view, store, gossip, formats, clock, rng):
+        self.view = view
+        self.store = store
+        self.gossip = gossip
+        self.formats = formats
+        self.clock = clock
+        self.rng = rng
+        self.settings = view.settings
+        self.is_loaded = asyncio.Event()
+        self.store_failing = False
+        self.fetching = None
+        self.fetches = set()
+        self.lease = None
+        gossip.on_newer = self.newer_heard
+
+    # Start
+
+    async def load(self):
+        """Get a first copy from the store, or from another host while it is out."""
+        while not self.is_loaded.is_set():
+            if not await self.load_from_store(may_lag=False):
+                await self.load_from_seeds()
+            if not self.is_loaded.is_set():
+                await self.pause()
+
+    async def load_from_store(self, may_lag):
+        """Read all items; tell whether it worked."""
+        formats = self.formats
+        prefixes = (
+            formats.CONFIGURATION_KEY,
+            formats.TARGET_PREFIX,
+            formats.HOST_PREFIX,
+        )
+        reads = []
+        for prefix in prefixes:
+            reads.append(self.store.read_prefix(prefix, may_lag))
+        try:
+            pages = await asyncio.gather(*reads)
+        except StoreError as error:
+            self.store_failed(error)
+            return False
+        for prefix, page in zip(prefixes, pages, strict=True):
+            self.view.apply_listing(prefix, page.items, page.revision)
+        self.view.replica.advance(min(page.revision for page in pages))
+        self.store_answered()
+        self.finish_load("store")
+        return True
+
+    async def load_from_seeds(self):
+        """Ask the seeds for a copy."""
+        seeds = list(self.settings.seeds)
+        self.rng.shuffle(seeds)
+        own = (self.settings.address, self.settings.control_port)
+        for address, port in seeds:
+            if (address, port) == own:
+                continue
+            if await self.fetch_from(address, port) and self.view.replica.revision:
+                self.finish_load("host")
+                return
+
+    def finish_load(self, source):
+        """Let requests in once a configuration is in force."""
+        if self.is_loaded.is_set() or self.view.configuration is None:
+            return
+        events.FIRST_COPY_LOADED.log(
+            source=source,
+            revision=self.view.replica.revision,
+            targets=len(self.view.targets),
+        )
+        self.is_loaded.set()
+
+    # Following
+
+    async def run(self):
+        """Watch the store while it is this host's turn, else listen to others."""
+        await self.load()
+        while True:
+            watches = self.must_watch(self.clock.now())
+            if watches != self.gossip.is_watching:
+                self.gossip.is_watching = watches
+                events.WATCH_ROLE_CHANGED.log(
+                    watching=watches, revision=self.view.replica.revision
+                )
+            if not watches:
+                await asyncio.sleep(IDLE_S)
+                continue
+            await self.watch_once()
+
+    def must_watch(self, now):
+        """Tell whether this host calls the store itself."""
+        if not self.others_well(now):
+            return True
+        if self.store_failing:
+            # The others are told by the store; this host asks again now and then.
+            return True
+        own = self.settings
+        candidates = [own.host_id]
+        for host in self.gossip.neighbours():
+            if self.gossip.is_heard(host.host_id):
+                candidates.append(host.host_id)
+        return rank(f"watch/{own.failure_domain}", candidates)[0] == own.host_id
+
+    def others_well(self, now):
+        """Tell whether another host passes the store's news on."""
+        heard_at = self.gossip.watcher_heard_at
+        return heard_at is not None and now - heard_at < WATCHER_SILENT_S
+
+    async def watch_once(self):
+        """Make one long poll and apply what it brings."""
+        replica = self.view.replica
+        after = replica.revision
+        try:
+            page = await self.store.watch(ALL_KEYS, after, WATCH_S)
+        except HistoryLost as error:
+            events.HISTORY_LOST.log(revision=after, reason=str(error))
+            if await self.load_from_store(may_lag=False):
+                self.gossip.flush()
+            else:
+                await self.pause()
+            return
+        except StoreError as error:
+            self.store_failed(error)
+            await self.pause()
+            return
+        self.store_answered()
+        news = self.view.apply(page.items)
+        replica.advance(page.revision)
+        if page.items:
+            self.gossip.announce(news, after)
+            await asyncio.sleep(GATHER_S)
+
+    def store_answered(self):
+        """Note an answer of the store; log the end of an outage."""
+        if self.store_failing:
+            events.STORE_REGAINED.log(revision=self.view.replica.revision)
+        self.store_failing = False
+        self.view.confirmed(self.clock.now())
+
+    def store_failed(self, error):
+        """Note a failed call; log the start of an outage."""
+        if not self.store_failing:
+            events.STORE_LOST.log(reason=str(error))
+        self.store_failing = True
+
+    async def pause(self):
+        """Wait before the next call after a failure."""
+        pause_s = self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        if self.others_well(self.clock.now()):
+            pause_s += RETRY_OTHERS_WELL_S
+        await asyncio.sleep(pause_s)
+
+    # News from other hosts
+
+    def newer_heard(self, host_id, revision):
+        """Fetch the changes that another host has and this one lacks."""
+        host = self.view.hosts.get(host_id)
+        if self.fetching is not None or host is None:
+            return
+        self.fetching = revision
+        task = asyncio.ensure_future(self.fetch_newer(host, revision))
+        self.fetches.add(task)
+        task.add_done_callback(self.fetches.discard)
+
+    async def fetch_newer(self, host, revision):
+        """Fetch from ``host`` unless the news arrives by itself."""
+        try:
+            await asyncio.sleep(FETCH_DELAY_S)
+            if self.view.replica.revision < revision:
+                await self.fetch_from(host.address, host.control_port)
+        finally:
+            self.fetching = None
+
+    async def fetch_from(self, address, port):
+        """Fetch what another host knows more; tell whether it answered."""
+        replica = self.view.replica
+        try:
+            revision, is_complete, items = await fetch_copy(
+                address, port, self.settings.host_id, replica.revision
+            )
+        except PeerError as error:
+            events.COPY_FAILED.log(peer=f"{address}:{port}", reason=repr(error))
+            return False
+        if revision <= replica.revision:
+            return True
+        if is_complete:
+            self.view.apply_listing(ALL_KEYS, items, revision)
+        else:
+            self.view.apply(items)
+        replica.advance(revision)
+        return True
+
+    # Announcement of this host
+
+    async def keep_registered(self):
+        """Announce this host in the store and keep the announcement alive."""
+        key, value = self.formats.write_host(self.settings)
+        while True:
+            try:
+                if self.lease is None:
+                    ttl_s = max(LEASE_S, self.settings.min_lease_s)
+                    lease, _ = await self.store.create_lease(ttl_s)
+                    await self.store.write(key, value, lease)
+                    self.lease = lease
+                else:
+                    await self.store.renew_lease(self.lease)
+                await asyncio.sleep(RENEW_S)
+            except LeaseUnknown:
+                events.LEASE_LOST.log(lease=self.lease or 0)
+                self.lease = None
+            except StoreError as error:
+                events.REGISTRATION_DELAYED.log(reason=str(error))
+                await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, 2 * RETRY_MAX_S))
+
+    async def withdraw(self):
+        """Remove the announcement of this host."""
+        if self.lease is None:
+            return
+        try:
+            await self.store.end_lease(self.lease)
+        except StoreError as error:
+            events.REGISTRATION_DELAYED.log(reason=str(error))
--- /dev/null
+++ b/oleanderroute/host/hostmetrics.py
@@ -0,0 +1,68 @@
+"""Counters and latency histograms of one host. Units are part of the names."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+# Upper bounds in seconds; objectives lie between 0.4 and 2 s.
+BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
+
+
+class HostMetrics:
+    """All collectors of one host, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = Registry()
+        registry = self.registry
+        self.requests = Counter(
+            "oleander_host_requests_total",
+            "Requests of callers by service, status and reason.",
+            registry=registry,
+        )
+        self.request_seconds = Histogram(
+            "oleander_host_request_duration_seconds",
+            "Time from a request's headers to its answer, by service.",
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self.sends = Counter(
+            "oleander_host_sends_total",
+            "Sends to targets by service and result.",
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            "oleander_host_store_calls_total",
+            "Calls to the platform's store by name.",
+            registry=registry,
+        )
+        self.version = Gauge(
+            "oleander_host_configuration_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self.log_lines_dropped = Gauge(
+            "oleander_host_log_lines_dropped",
+            "Log lines dropped because their reader was too slow.",
+            registry=registry,
+        )
+
+    def request_finished(self, exchange, answer, elapsed_s):
+        """Count a request and its sends."""
+        service = exchange.service
+        self.requests.inc(
+            {
+                "service": service,
+                "status": str(answer.status),
+                "reason": answer.reason,
+            }
+        )
+        self.request_seconds.observe({"service": service}, elapsed_s)
+        for record in exchange.sends:
+            result = record.result.value if record.result else "open"
+            self.sends.inc({"service": service, "result": result})
+
+    def request_refused(self, reason):
+        """Count a request that has no route."""
+        self.requests.inc({"service": "", "status": "", "reason": reason.value})
+
+    def store_called(self, name):
+        """Count a call to the store."""
+        self.store_calls.inc({"call": name})
--- /dev/null
+++ b/oleanderroute/host/proxy.py
@@ -0,0 +1,127 @@
+"""Takes a caller's request from its route to its answer."""
+
+from .. import events
+from ..entry.messages import BodyTooLarge, CallerAnswer, TargetAnswer, read_head
+from ..errors import CallerDisconnected, format_failure
+from ..outcome import CallerOutcome
+from .exchange import Exchange
+from .refusal import HostReason, refuse
+from .routes import authority_of
+
+# Bodies up to this size are complete before a target is chosen, so that a slow
+# caller holds no slot and a refused request can go to another target.
+BUFFERED_BODY_BYTES = 1024 * 1024
+ANSWERED = "answered"
+
+
+class HostProxy:
+    """Serves requests under the configuration in force.
+
+    Parameters
+    ----------
+    view : FleetView
+    sender : Sender
+    headers : object
+        Has ``caller_headers(headers)`` and ``base_headers(headers)``.
+    request_log : RequestLog
+    clock : Clock
+    rng : random.Random
+    """
+
+    def __init__(self, view, sender, headers, request_log, clock, rng):
+        self.view = view
+        self.sender = sender
+        self.headers = headers
+        self.request_log = request_log
+        self.clock = clock
+        self.rng = rng
+        self.in_flight = 0
+
+    async def handle(self, request):
+        """Return the ``CallerAnswer`` of a ``CallerRequest``."""
+        self.in_flight += 1
+        try:
+            return await self.serve(request)
+        finally:
+            self.in_flight -= 1
+
+    async def serve(self, request):
+        """Find the route, read the body and send the request."""
+        attempt_id, remaining_s = self.headers.caller_headers(request.headers)
+        exchange = self.make_exchange(request, attempt_id, remaining_s)
+        if not isinstance(exchange, Exchange):
+            return self.refuse_early(request, attempt_id, exchange)
+        try:
+            request.body.limit(self.view.configuration.bounds.body_bytes)
+            if request.body.length != 0:
+                exchange.head = await read_head(request.body, BUFFERED_BODY_BYTES)
+            answer = await self.run(exchange)
+        except BodyTooLarge:
+            answer = refuse(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
+        except CallerDisconnected:
+            answer = refuse(HostReason.BODY_INCOMPLETE, exchange.may_have_run)
+        except Exception as error:
+            events.CALLER_REQUEST_FAILED.log(
+                path=request.path,
+                error=type(error).__name__,
+                reason=format_failure(error),
+            )
+            answer = refuse(HostReason.INTERNAL, True)
+        self.request_log.finished(exchange, answer)
+        return answer
+
+    async def run(self, exchange):
+        """Send a request unless it is known to end the targets that run it."""
+        if self.sender.crashes.is_refused(exchange):
+            return refuse(HostReason.CRASH_QUARANTINE)
+        answer = await self.sender.run(exchange)
+        if isinstance(answer, TargetAnswer):
+            return caller_answer(answer)
+        return answer
+
+    def make_exchange(self, request, attempt_id, remaining_s):
+        """Return the ``Exchange`` of a request, or the reason why it has none."""
+        view = self.view
+        configuration = view.configuration
+        if configuration is None:
+            return HostReason.NOT_CONFIGURED
+        path, _, _ = request.raw_target.partition(b"?")
+        route = view.routes.match(authority_of(request.headers), path.decode("latin-1"))
+        if route is None:
+            if view.is_current(self.clock.now()):
+                return HostReason.NO_ROUTE
+            return HostReason.ROUTE_UNCERTAIN
+        limit_s = route.timeout_s
+        if remaining_s is not None:
+            limit_s = min(limit_s, remaining_s)
+        return Exchange(
+            request=request,
+            route=route,
+            service=self.choose_service(route),
+            attempt_id=(attempt_id or b"").decode("latin-1"),
+            attempt_id_bytes=attempt_id,
+            deadline_at=request.received_at + limit_s,
+            version=configuration.version,
+            base_headers=self.headers.base_headers(request.headers),
+        )
+
+    def choose_service(self, route):
+        """Draw a service of the route by its weights."""
+        destinations = route.destinations
+        if len(destinations) == 1:
+            return destinations[0].service
+        weights = [destination.weight for destination in destinations]
+        return self.rng.choices(destinations, weights)[0].service
+
+    def refuse_early(self, request, attempt_id, reason):
+        """Refuse a request that has no route."""
+        self.request_log.refused(request, attempt_id, reason, self.view)
+        return refuse(reason)
+
+
+def caller_answer(answer):
+    """Return a target's answer in the form for the caller's side."""
+    body = answer.body if answer.stream is None else answer.chunks()
+    return CallerAnswer(
+        answer.status, answer.headers, body, CallerOutcome.ANSWERED, ANSWERED
+    )
--- /dev/null
+++ b/oleanderroute/host/refusal.py
@@ -0,0 +1,67 @@
+"""Answers of a host itself, as the platform's callers understand them."""
+
+from enum import Enum
+
+from ..entry.messages import CallerAnswer
+from ..outcome import CallerOutcome
+
+# Callers come back after this; beliefs about targets turn within such a time.
+RETRY_AFTER_S = 0.3
+
+
+class HostReason(Enum):
+    """Why a host answers itself; the value stands in the log and a header."""
+
+    NOT_CONFIGURED = "not-configured"
+    NO_ROUTE = "no-route"
+    ROUTE_UNCERTAIN = "route-uncertain"
+    BODY_TOO_LARGE = "body-too-large"
+    BODY_INCOMPLETE = "body-incomplete"
+    NO_TARGET = "no-target"
+    TARGETS_REFUSED = "targets-refused"
+    TARGETS_UNREACHABLE = "targets-unreachable"
+    CRASH_QUARANTINE = "crash-quarantine"
+    TARGET_BROKE = "target-broke"
+    TARGET_TIMEOUT = "target-timeout"
+    TARGET_UNPROVEN = "target-refused-without-proof"
+    INTERNAL = "internal-error"
+
+
+# 503 promises that the request did not run and never will; 502 and 504 promise
+# nothing.
+STATUS_OF = {
+    HostReason.NOT_CONFIGURED: 503,
+    HostReason.NO_ROUTE: 404,
+    HostReason.ROUTE_UNCERTAIN: 503,
+    HostReason.BODY_TOO_LARGE: 413,
+    HostReason.BODY_INCOMPLETE: 400,
+    HostReason.NO_TARGET: 503,
+    HostReason.TARGETS_REFUSED: 503,
+    HostReason.TARGETS_UNREACHABLE: 503,
+    HostReason.CRASH_QUARANTINE: 503,
+    HostReason.TARGET_BROKE: 502,
+    HostReason.TARGET_TIMEOUT: 504,
+    HostReason.TARGET_UNPROVEN: 502,
+    HostReason.INTERNAL: 500,
+}
+REASON_HEADER = b"oleander-reason"
+
+
+def refuse(reason, may_have_run=False):
+    """Return the answer for a request that no target answered.
+
+    Parameters
+    ----------
+    reason : HostReason
+    may_have_run : bool
+        Turns a promise that the request did not run into 502.
+    """
+    status = STATUS_OF[reason]
+    if status == 503 and may_have_run:
+        status = 502
+    headers = [(REASON_HEADER, reason.value.encode("ascii"))]
+    outcome = CallerOutcome.UNKNOWN
+    if status == 503:
+        headers.append((b"retry-after", b"%.1f" % RETRY_AFTER_S))
+        outcome = CallerOutcome.NOT_RUN
+    return CallerAnswer(status, headers, b"", outcome, reason.value)
--- /dev/null
+++ b/oleanderroute/host/requestlog.py
@@ -0,0 +1,102 @@
+"""One log line and the counters for each request, within a bounded rate of lines."""
+
+from .. import events
+from ..outcome import CallerOutcome
+
+# Lines a second about requests that were answered, and about those that were not.
+# A host serves some ten requests a second on an ordinary day.
+ANSWERED_LINES_PER_S = 20.0
+FAILED_LINES_PER_S = 40.0
+BURST_S = 5.0
+
+
+class LineBudget:
+    """A token bucket for log lines.
+
+    Parameters
+    ----------
+    per_s : float
+    clock : Clock
+    """
+
+    def __init__(self, per_s, clock):
+        self.per_s = per_s
+        self.clock = clock
+        self.tokens = per_s * BURST_S
+        self.updated_at = clock.now()
+        self.left_out = 0
+
+    def take(self):
+        """Tell whether a line may be written; count it otherwise."""
+        now = self.clock.now()
+        earned = (now - self.updated_at) * self.per_s
+        self.tokens = min(self.per_s * BURST_S, self.tokens + earned)
+        self.updated_at = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def take_left_out(self):
+        """Return how many lines were left out since the last written one."""
+        left_out = self.left_out
+        self.left_out = 0
+        return left_out
+
+
+class RequestLog:
+    """Writes how each request ended.
+
+    Parameters
+    ----------
+    metrics : HostMetrics
+    clock : Clock
+    """
+
+    def __init__(self, metrics, clock):
+        self.metrics = metrics
+        self.clock = clock
+        self.answered = LineBudget(ANSWERED_LINES_PER_S, clock)
+        self.failed = LineBudget(FAILED_LINES_PER_S, clock)
+
+    def finished(self, exchange, answer):
+        """Log and count a request that had a route."""
+        elapsed_s = self.clock.now() - exchange.request.received_at
+        self.metrics.request_finished(exchange, answer, elapsed_s)
+        is_answered = answer.outcome is CallerOutcome.ANSWERED and answer.status < 500
+        budget = self.answered if is_answered else self.failed
+        if not budget.take():
+            return
+        sends = []
+        for record in exchange.sends:
+            sends.append(record.describe())
+        events.REQUEST_FINISHED.log(
+            request=exchange.attempt_id,
+            route=exchange.route.route_id,
+            service=exchange.service,
+            version=exchange.version,
+            status=answer.status,
+            reason=answer.reason,
+            elapsed_ms=int(elapsed_s * 1000),
+            limit_ms=int(1000 * (exchange.deadline_at - exchange.request.received_at)),
+            sends=sends,
+            left_out=budget.take_left_out(),
+        )
+
+    def refused(self, request, attempt_id, reason, view):
+        """Log and count a request that has no route."""
+        self.metrics.request_refused(reason)
+        if not self.failed.take():
+            return
+        configuration = view.configuration
+        confirmed_at = view.replica.confirmed_at
+        age_s = None if confirmed_at is None else self.clock.now() - confirmed_at
+        events.REQUEST_WITHOUT_ROUTE.log(
+            request=(attempt_id or b"").decode("latin-1"),
+            path=request.path[:200],
+            reason=reason.value,
+            version=configuration.version if configuration else 0,
+            news_age_s=None if age_s is None else round(age_s, 3),
+            left_out=self.failed.take_left_out(),
+        )
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -71,14 +71,36 @@
     MessageRejected
         If the frame would exceed ``MAX_FRAME_BYTES``.
     """
-    transport = TMemoryBuffer()
-    message.write(PROTOCOL_FACTORY.getProtocol(transport))
-    body = transport.getvalue()
+    body = encode_message(message)
     if len(body) > MAX_FRAME_BYTES:
         raise MessageRejected(f"oversized frame: {len(body)} bytes")
     return FRAME_LENGTH.pack(len(body)) + body
 
 
+def encode_message(message):
+    """Return ``message`` without a length prefix, as a datagram holds it."""
+    transport = TMemoryBuffer()
+    message.write(PROTOCOL_FACTORY.getProtocol(transport))
+    return transport.getvalue()
+
+
+def decode_message(message, body):
+    """Read ``body`` into the empty ``message`` and return it, checked.
+
+    Raises
+    ------
+    MessageRejected
+        If the bytes are not a complete message.
+    """
+    try:
+        message.read(PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(body)))
+        message.validate()
+    except Exception as error:
+        # The accelerated codec raises plain Python errors on malformed bytes.
+        raise MessageRejected(f"malformed message: {error!r}") from error
+    return message
+
+
 def decode_request(body):
     """Decode a frame body into a checked ``PeerRequest``.
 
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3095,6 +3095,654 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Observation(object):
+    """
+    Attributes:
+     - target_id
+     - kind
+     - age_ms
+     - latency_ms
+     - in_system
+     - slots
+
+    """
+
+    __slots__ = (
+        'target_id',
+        'kind',
+        'age_ms',
+        'latency_ms',
+        'in_system',
+        'slots',
+    )
+
+
+    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None,):
+        self.target_id = target_id
+        self.kind = kind
+        self.age_ms = age_ms
+        self.latency_ms = latency_ms
+        self.in_system = in_system
+        self.slots = slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I16:
+                    self.kind = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.latency_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I16:
+                    self.in_system = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I16:
+                    self.slots = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Observation')
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 1)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I16, 2)
+            oprot.writeI16(self.kind)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.latency_ms is not None:
+            oprot.writeFieldBegin('latency_ms', TType.I32, 4)
+            oprot.writeI32(self.latency_ms)
+            oprot.writeFieldEnd()
+        if self.in_system is not None:
+            oprot.writeFieldBegin('in_system', TType.I16, 5)
+            oprot.writeI16(self.in_system)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I16, 6)
+            oprot.writeI16(self.slots)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target_id is None:
+            raise TProtocolException(message='Required field target_id is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ItemChange(object):
+    """
+    Attributes:
+     - key
+     - revision
+     - value
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+        'value',
+    )
+
+
+    def __init__(self, key=None, revision=None, value=None,):
+        self.key = key
+        self.revision = revision
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ItemChange')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Gossip(object):
+    """
+    Attributes:
+     - host_id
+     - incarnation
+     - sequence
+     - failure_domain
+     - forward
+     - revision
+     - confirmed_ms
+     - observations
+     - crashes
+     - changes_after
+     - changes
+
+    """
+
+    __slots__ = (
+        'host_id',
+        'incarnation',
+        'sequence',
+        'failure_domain',
+        'forward',
+        'revision',
+        'confirmed_ms',
+        'observations',
+        'crashes',
+        'changes_after',
+        'changes',
+    )
+
+
+    def __init__(self, host_id=None, incarnation=None, sequence=None, failure_domain=None, forward=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None,):
+        self.host_id = host_id
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.failure_domain = failure_domain
+        self.forward = forward
+        self.revision = revision
+        self.confirmed_ms = confirmed_ms
+        self.observations = observations
+        self.crashes = crashes
+        self.changes_after = changes_after
+        self.changes = changes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sequence = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.forward = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.confirmed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.observations = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = Observation()
+                        _elem107.read(iprot)
+                        self.observations.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = CrashNotice()
+                        _elem113.read(iprot)
+                        self.crashes.append(_elem113)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.changes_after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = ItemChange()
+                        _elem119.read(iprot)
+                        self.changes.append(_elem119)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Gossip')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I32, 3)
+            oprot.writeI32(self.sequence)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.forward is not None:
+            oprot.writeFieldBegin('forward', TType.BOOL, 5)
+            oprot.writeBool(self.forward)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 6)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.confirmed_ms is not None:
+            oprot.writeFieldBegin('confirmed_ms', TType.I32, 7)
+            oprot.writeI32(self.confirmed_ms)
+            oprot.writeFieldEnd()
+        if self.observations is not None:
+            oprot.writeFieldBegin('observations', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.observations))
+            for iter120 in self.observations:
+                iter120.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter121 in self.crashes:
+                iter121.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changes_after is not None:
+            oprot.writeFieldBegin('changes_after', TType.I64, 10)
+            oprot.writeI64(self.changes_after)
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter122 in self.changes:
+                iter122.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.host_id is None:
+            raise TProtocolException(message='Required field host_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.failure_domain is None:
+            raise TProtocolException(message='Required field failure_domain is unset!')
+        if self.forward is None:
+            raise TProtocolException(message='Required field forward is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyRequest(object):
+    """
+    Attributes:
+     - host_id
+     - after_revision
+
+    """
+
+    __slots__ = (
+        'host_id',
+        'after_revision',
+    )
+
+
+    def __init__(self, host_id=None, after_revision=None,):
+        self.host_id = host_id
+        self.after_revision = after_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyRequest')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 2)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.host_id is None:
+            raise TProtocolException(message='Required field host_id is unset!')
+        if self.after_revision is None:
+            raise TProtocolException(message='Required field after_revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyReply(object):
+    """
+    Attributes:
+     - revision
+     - is_complete
+     - items
+
+    """
+
+    __slots__ = (
+        'revision',
+        'is_complete',
+        'items',
+    )
+
+
+    def __init__(self, revision=None, is_complete=None, items=None,):
+        self.revision = revision
+        self.is_complete = is_complete
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = ItemChange()
+                        _elem128.read(iprot)
+                        self.items.append(_elem128)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyReply')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.is_complete is not None:
+            oprot.writeFieldBegin('is_complete', TType.BOOL, 2)
+            oprot.writeBool(self.is_complete)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter129 in self.items:
+                iter129.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.is_complete is None:
+            raise TProtocolException(message='Required field is_complete is unset!')
+        if self.items is None:
+            raise TProtocolException(message='Required field items is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
@@ -3310,5 +3958,50 @@
     (2, TType.STRUCT, 'header', [Header, None], None, ),  # 2
     (3, TType.STRUCT, 'body', [ReplyBody, None], None, ),  # 3
 )
+all_structs.append(Observation)
+Observation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target_id', 'UTF8', None, ),  # 1
+    (2, TType.I16, 'kind', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'latency_ms', None, None, ),  # 4
+    (5, TType.I16, 'in_system', None, None, ),  # 5
+    (6, TType.I16, 'slots', None, None, ),  # 6
+)
+all_structs.append(ItemChange)
+ItemChange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+)
+all_structs.append(Gossip)
+Gossip.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'sequence', None, None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'forward', None, None, ),  # 5
+    (6, TType.I64, 'revision', None, None, ),  # 6
+    (7, TType.I32, 'confirmed_ms', None, None, ),  # 7
+    (8, TType.LIST, 'observations', (TType.STRUCT, [Observation, None], False), None, ),  # 8
+    (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 9
+    (10, TType.I64, 'changes_after', None, None, ),  # 10
+    (11, TType.LIST, 'changes', (TType.STRUCT, [ItemChange, None], False), None, ),  # 11
+)
+all_structs.append(CopyRequest)
+CopyRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'after_revision', None, None, ),  # 2
+)
+all_structs.append(CopyReply)
+CopyReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.BOOL, 'is_complete', None, None, ),  # 2
+    (3, TType.LIST, 'items', (TType.STRUCT, [ItemChange, None], False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/oleanderroute/platform/headers.py
@@ -0,0 +1,94 @@
+"""Header names of the platform and what the answers of its targets promise."""
+
+from ..entry.dialect import TargetDialect
+from ..entry.messages import HOP_BY_HOP, end_to_end_headers
+
+ATTEMPT_ID = b"x-attempt-id"
+REMAINING_MS = b"x-deadline-remaining"
+EXPECTED_INSTANCE = b"x-expected-instance"
+SEAL = b"x-response-seal"
+INSTANCE = b"x-instance-id"
+NOT_EXECUTED = b"x-not-executed"
+# "running,waiting,slots"
+LOAD = b"x-backend-load"
+# A target behind whose address another one has moved refuses with this status.
+MISDIRECTED_STATUS = 421
+# Set anew on each send, or written by the connection.
+OWN_HEADERS = frozenset({REMAINING_MS, EXPECTED_INSTANCE, b"content-length", b"expect"})
+
+
+class PlatformDialect(TargetDialect):
+    """Reads the platform's headers of a target's answer."""
+
+    request_id_header = ATTEMPT_ID
+    names = frozenset({NOT_EXECUTED, LOAD, ATTEMPT_ID})
+
+    def read_header(self, answer, name, value):
+        """Note what a header tells about the target or its answer."""
+        if name == NOT_EXECUTED:
+            answer.not_started = True
+        elif name == LOAD:
+            answer.load = read_load(value)
+        else:
+            answer.echoed_id = value
+
+    def finish(self, answer):
+        """Judge the head as a whole."""
+        if answer.status == MISDIRECTED_STATUS:
+            answer.not_started = True
+            answer.misdirected = True
+
+
+def read_load(value):
+    """Return (running, waiting, slots), or None for an unreadable value."""
+    parts = value.split(b",")
+    if len(parts) != 3:
+        return None
+    numbers = []
+    for part in parts:
+        text = part.strip()
+        if not text.isdigit():
+            return None
+        numbers.append(int(text))
+    return tuple(numbers)
+
+
+def caller_headers(headers):
+    """Return the attempt id and the remaining milliseconds of a caller's request.
+
+    Returns
+    -------
+    attempt_id : bytes or None
+    remaining_s : float or None
+    """
+    attempt_id = None
+    remaining_s = None
+    for name, value in headers:
+        if name == ATTEMPT_ID:
+            attempt_id = value
+        elif name == REMAINING_MS:
+            remaining_s = read_milliseconds(value)
+    return attempt_id, remaining_s
+
+
+def read_milliseconds(value):
+    """Return seconds, or None for a value that is no number above zero."""
+    try:
+        milliseconds = float(value)
+    except ValueError:
+        return None
+    return milliseconds / 1000 if milliseconds > 0 else None
+
+
+def base_headers(headers):
+    """Return the end-to-end headers of a request that every send shares."""
+    return end_to_end_headers(headers, HOP_BY_HOP | OWN_HEADERS)
+
+
+def attempt_headers(base, target_id, remaining_s):
+    """Return the headers of one send to one target."""
+    return [
+        *base,
+        (REMAINING_MS, b"%d" % max(1, int(remaining_s * 1000))),
+        (EXPECTED_INSTANCE, target_id.encode("latin-1")),
+    ]
--- /dev/null
+++ b/oleanderroute/platform/kv.py
@@ -0,0 +1,250 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+from urllib.parse import urlencode
+
+import aiohttp
+import orjson
+
+from .. import events
+from ..errors import (
+    HistoryLost,
+    LeaseUnknown,
+    StoreError,
+    StoreRefused,
+    StoreUnavailable,
+    TransactionConflict,
+)
+from ..host.model import ItemPage, StoreItem
+
+# The store answers in 4 ms while it is well; a longer wait means trouble.
+CALL_TIMEOUT_S = 1.0
+# A long poll is given this much more than it asked the store to wait.
+POLL_MARGIN_S = 0.7
+CONNECT_TIMEOUT_S = 0.6
+# Three pages of 500 items are ample for a fleet; more is a fault of the store.
+MAX_PAGES = 200
+
+
+class KvClient:
+    """Calls the store over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    on_call : callable
+        Told the name of each call, for the metrics.
+    """
+
+    def __init__(self, address, on_call):
+        self.base = f"http://{address}"
+        self.on_call = on_call
+        self.session = None
+
+    async def close(self):
+        """Close all connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def read_key(self, key):
+        """Return a page with the item of ``key``, or without items.
+
+        Raises
+        ------
+        StoreError
+        """
+        status, document = await self.call("GET", "/kv-key", {"key": key})
+        if status == 404:
+            return ItemPage([], int_field(document, "atRev", 0))
+        expect(status, 200)
+        return ItemPage([read_item(document)], int_field(document, "atRev"))
+
+    async def read_prefix(self, prefix, may_lag=False):
+        """Return a page with all items under ``prefix``.
+
+        Parameters
+        ----------
+        prefix : str
+        may_lag : bool
+            Accept items that are seconds old, at a tenth of the price.
+
+        Raises
+        ------
+        StoreError
+        """
+        query = {"prefix": prefix}
+        if may_lag:
+            query["staleOk"] = "1"
+        found = ItemPage()
+        for _ in range(MAX_PAGES):
+            status, document = await self.call("GET", "/kv-range", query)
+            expect(status, 200)
+            items = read_items(document, "items")
+            found.items += items
+            revision = int_field(document, "atRev")
+            # Pages are no snapshot: a watch must start from the oldest of them.
+            found.revision = min(found.revision or revision, revision)
+            if not document.get("hasMore") or not items:
+                return found
+            query["after"] = items[-1].key
+        raise StoreUnavailable(f"range {prefix!r} has no end")
+
+    async def watch(self, prefix, after, wait_s):
+        """Return a page with the changes under ``prefix`` after a revision.
+
+        Raises
+        ------
+        HistoryLost
+            If the store does not have these changes any more.
+        StoreError
+        """
+        query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
+        status, document = await self.call(
+            "GET", "/kv-watch", query, timeout_s=wait_s + POLL_MARGIN_S
+        )
+        if status == 410:
+            raise HistoryLost(f"changes after revision {after}")
+        expect(status, 200)
+        items = read_items(document, "events")
+        return ItemPage(items, int_field(document, "atRev"))
+
+    async def create_lease(self, ttl_s):
+        """Create a lease and return its id and the seconds that it lasts."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+        status, document = await self.call("POST", "/kv-lease", body=body)
+        expect(status, 200)
+        return int_field(document, "lease"), int_field(document, "ttlMs") / 1000
+
+    async def renew_lease(self, lease):
+        """Renew a lease.
+
+        Raises
+        ------
+        LeaseUnknown
+            If it has ended.
+        StoreError
+        """
+        status, _ = await self.call("POST", f"/kv-keep/{lease}", body={})
+        if status == 404:
+            raise LeaseUnknown(str(lease))
+        expect(status, 200)
+
+    async def end_lease(self, lease):
+        """End a lease, which removes its keys."""
+        status, _ = await self.call("DELETE", f"/kv-lease-end/{lease}")
+        if status not in {200, 204, 404}:
+            expect(status, 200)
+
+    async def write(self, key, value, lease=0, expected_revision=None):
+        """Write a key and return the store's revision.
+
+        Parameters
+        ----------
+        expected_revision : int, optional
+            Write only if the key has this revision; 0 means that it is absent.
+
+        Raises
+        ------
+        TransactionConflict, LeaseUnknown, StoreError
+        """
+        conditions = []
+        if expected_revision is not None:
+            conditions.append({"key": key, "revision": expected_revision})
+        encoded = base64.b64encode(value).decode("ascii")
+        body = {
+            "expect": conditions,
+            "puts": [{"key": key, "value": encoded, "lease": lease}],
+            "remove": [],
+        }
+        status, document = await self.call("POST", "/kv-txn", body=body)
+        if status == 412:
+            raise TransactionConflict(key)
+        if status == 404:
+            raise LeaseUnknown(str(lease))
+        expect(status, 200)
+        return int_field(document, "revision")
+
+    async def call(self, method, path, query=None, body=None, timeout_s=CALL_TIMEOUT_S):
+        """Make one call and return its status and its decoded body."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
+            )
+        self.on_call(path.split("/")[1])
+        url = self.base + path
+        if query is not None:
+            url += "?" + urlencode(query)
+        data = None if body is None else orjson.dumps(body)
+        headers = {} if data is None else {"Content-Type": "application/json"}
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=min(timeout_s, CONNECT_TIMEOUT_S)
+        )
+        try:
+            async with self.session.request(
+                method, url, data=data, headers=headers, timeout=timeout
+            ) as response:
+                content = await response.read()
+                status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            reason = f"{method} {path}: {type(error).__name__} {error}"
+            raise StoreUnavailable(reason) from error
+        if status == 429 or status >= 500:
+            raise StoreRefused(f"{method} {path}: status {status}")
+        return status, decode(content)
+
+
+def decode(content):
+    """Return the JSON object of a response."""
+    if not content:
+        return {}
+    try:
+        document = orjson.loads(content)
+    except orjson.JSONDecodeError as error:
+        raise StoreUnavailable(f"the answer is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise StoreUnavailable("the answer is no JSON object")
+    return document
+
+
+def expect(status, expected):
+    """Refuse a status that the protocol does not describe."""
+    if status != expected:
+        raise StoreUnavailable(f"unexpected status {status}")
+
+
+def int_field(document, name, default=None):
+    """Return an integer field of an answer."""
+    value = document.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise StoreUnavailable(f"field {name!r} is not an integer")
+    return value
+
+
+def read_items(document, name):
+    """Return the items of a list in an answer; unreadable ones are left out."""
+    found = []
+    listed = document.get(name)
+    if not isinstance(listed, list):
+        raise StoreUnavailable(f"field {name!r} is not a list")
+    for entry in listed:
+        try:
+            found.append(read_item(entry))
+        except StoreError as error:
+            events.STORE_ITEM_UNREADABLE.log(key=str(entry)[:200], reason=str(error))
+    return found
+
+
+def read_item(entry):
+    """Return the ``StoreItem`` of an item or of a removal."""
+    if not isinstance(entry, dict) or not isinstance(entry.get("key"), str):
+        raise StoreUnavailable("an item without a key")
+    revision = int_field(entry, "revision")
+    if entry.get("tombstone"):
+        return StoreItem(entry["key"], revision, None)
+    try:
+        value = base64.b64decode(entry.get("value", ""), validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
+        raise StoreUnavailable(f"value of {entry['key']!r}: {error}") from error
+    return StoreItem(entry["key"], revision, value)
--- /dev/null
+++ b/oleanderroute/platform/node_file.py
@@ -0,0 +1,119 @@
+"""Reads the settings file that the platform writes for a process."""
+
+import os
+from pathlib import Path
+
+from ..errors import SettingsError
+from ..host.model import HostSettings
+from ..ids import FailureDomain, HostId, Region
+
+PATH_VARIABLE = "OLEANDERROUTE_NODE_FILE"
+
+
+def settings_path():
+    """Return where the platform put the settings file.
+
+    Raises
+    ------
+    SettingsError
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError(f"${PATH_VARIABLE}", "not set")
+    return Path(path)
+
+
+def load_host_settings(path):
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingsError
+    """
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), str(error)) from error
+    return host_settings(parse_lines(text))
+
+
+def parse_lines(text):
+    """Return the fields of lines of the form ``a.b=value``."""
+    fields = {}
+    for line in text.splitlines():
+        name, equals, value = line.strip().partition("=")
+        if equals and not name.startswith("#"):
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def host_settings(fields):
+    """Build the settings of a host from the platform's fields."""
+    bounds = parse_bounds(fields.get("bounds", ""))
+    address, caller_port = endpoint(fields, "listen.front")
+    first_port, _, _ = text_field(fields, "internalPortRange").partition(",")
+    return HostSettings(
+        host_id=HostId(text_field(fields, "nodeName")),
+        address=address,
+        failure_domain=FailureDomain(text_field(fields, "zone")),
+        region=Region(text_field(fields, "region")),
+        caller_port=caller_port,
+        readiness_port=endpoint(fields, "listen.ready")[1],
+        control_port=endpoint(fields, "listen.control")[1],
+        gossip_port=int(number(first_port, "internalPortRange")),
+        seeds=seed_addresses(fields.get("seeds", "")),
+        store_address=text_field(fields, "platform.address"),
+        min_lease_s=number(fields.get("platform.ttlMinMs", "1000"), "ttlMinMs") / 1000,
+        # Defaults are those of the platform's pages.
+        retry_ratio=bounds.get("budgetRatio", 0.2),
+        retry_allowance=bounds.get("retrySlack", 0.0),
+        retry_window_s=bounds.get("budgetWindowS", 10.0),
+        stop_grace_s=bounds.get("graceS", 6.0),
+        heartbeat_s=number(fields.get("heartbeatMs", "1500"), "heartbeatMs") / 1000,
+    )
+
+
+def text_field(fields, name):
+    """Return a field that must be there."""
+    value = fields.get(name)
+    if not value:
+        raise SettingsError(name, "missing")
+    return value
+
+
+def number(text, name):
+    """Return a number."""
+    try:
+        return float(text)
+    except ValueError as error:
+        raise SettingsError(name, f"not a number: {text!r}") from error
+
+
+def endpoint(fields, name):
+    """Return the address and the port of a listener."""
+    address, colon, port = text_field(fields, name).rpartition(":")
+    if not colon or not port.isdecimal():
+        raise SettingsError(name, "not an address with a port")
+    return address, int(port)
+
+
+def seed_addresses(text):
+    """Return the (address, port) pairs of a list joined by commas."""
+    found = []
+    for part in text.split(","):
+        address, colon, port = part.strip().rpartition(":")
+        if colon and port.isdecimal():
+            found.append((address, int(port)))
+    return tuple(found)
+
+
+def parse_bounds(text):
+    """Return the numbers among ``name=value`` pairs; others are not used here."""
+    found = {}
+    for part in text.split(","):
+        name, _, value = part.partition("=")
+        try:
+            found[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return found
