--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -209,6 +209,8 @@
   // Requests that run and wait at the target, and its slots.
   5: optional i16 in_system
   6: optional i16 slots
+  // Number of the send at the observing host; joins its start and its end.
+  7: required i32 send_number
 }
 
 // A key of the platform's store; no value for one that was removed.
--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -1,63 +1,105 @@
-"""How often one host may send requests again, so that all hosts keep one bound."""
+"""How often requests may be sent again, so that all hosts keep one bound."""
 
 from collections import deque
 
-# Left unused, because hosts may be counted late and windows slide.
-SAFETY_SHARE = 0.85
+# Left unused: hosts decide at the same time and see each other's sends late.
+SAFETY_SHARE = 0.8
+# A second send on suspicion leaves this share to requests that targets refused.
+HEDGE_RESERVE_SHARE = 0.2
+# One host may use this many times its even part of the fixed allowance.
+OWN_PARTS = 4.0
+
+
+class SendWindow:
+    """First and repeated sends in a sliding window.
+
+    Parameters
+    ----------
+    window_s : float
+    """
+
+    def __init__(self, window_s):
+        self.window_s = window_s
+        self.firsts = deque()
+        self.repeats = deque()
+
+    def add(self, is_repeat, now):
+        """Count one send."""
+        sends = self.repeats if is_repeat else self.firsts
+        sends.append(now)
+
+    def forget(self, now):
+        """Drop what has left the window."""
+        oldest = now - self.window_s
+        for sends in (self.firsts, self.repeats):
+            while sends and sends[0] <= oldest:
+                sends.popleft()
 
 
 class RepeatAllowance:
     """Bounds the repeated sends to one service in a sliding window.
 
-    Every host may repeat a share of its own requests and has a part of the fixed
-    allowance. The sum over all hosts then stays below the bound of the fleet,
-    without any message between them, also while hosts are cut off.
+    Each host sees the sends of all hosts that it hears. Together they may repeat a
+    share of the requests that they see, and have a part of the fixed allowance that
+    grows with the hosts they hear. Groups of hosts that are cut off from each other
+    therefore keep the bound in sum.
 
     Parameters
     ----------
     ratio : float
-        Repeated sends per request, of all hosts together.
+        Repeated sends per request.
     allowance : float
         Repeated sends that are free in each window, of all hosts together.
     window_s : float
+    started_at : float
+        Monotonic seconds. A host that has just started has not seen the others'
+        sends in the window, so its part of the allowance grows with its age.
     """
 
-    def __init__(self, ratio, allowance, window_s):
+    def __init__(self, ratio, allowance, window_s, started_at):
         self.ratio = ratio
         self.allowance = allowance
         self.window_s = window_s
-        self.requests = deque()
-        self.repeats = deque()
+        self.started_at = started_at
+        self.all_sends = SendWindow(window_s)
+        self.own_sends = SendWindow(window_s)
+
+    def record(self, is_repeat, is_own, now):
+        """Count a send of this or another host."""
+        self.all_sends.add(is_repeat, now)
+        if is_own:
+            self.own_sends.add(is_repeat, now)
+
+    def limit(self, heard, known, now):
+        """Return the repeats that the hosts heard may send in a window."""
+        age_share = min(1.0, (now - self.started_at) / self.window_s)
+        fixed = self.allowance * min(1.0, heard / max(1, known)) * age_share
+        return SAFETY_SHARE * (self.ratio * len(self.all_sends.firsts) + fixed)
 
-    def record_request(self, now):
-        """Count a request of a caller for the service."""
-        self.requests.append(now)
+    def own_limit(self, known, now):
+        """Return the repeats that this host may send in a window."""
+        part = OWN_PARTS * self.allowance / max(1, known)
+        return SAFETY_SHARE * (2 * self.ratio * len(self.own_sends.firsts) + part)
 
-    def remaining(self, hosts, now):
-        """Return how many repeats this host may still send.
+    def may_repeat(self, heard, known, now, is_hedge=False):
+        """Tell whether one more repeat is allowed.
 
         Parameters
         ----------
-        hosts : int
-            Hosts that share the allowance.
+        heard : int
+            Hosts whose sends are seen, this one included.
+        known : int
+            Hosts that share the bound.
         now : float
             Monotonic seconds.
+        is_hedge : bool
+            Whether the first send may still succeed.
         """
-        self.forget(now)
-        own = self.ratio * len(self.requests) + self.allowance / max(1, hosts)
-        return SAFETY_SHARE * own - len(self.repeats)
-
-    def spend(self, hosts, now):
-        """Count one repeat if it is allowed, and tell whether it is."""
-        if self.remaining(hosts, now) < 1.0:
+        self.all_sends.forget(now)
+        self.own_sends.forget(now)
+        limit = self.limit(heard, known, now)
+        if is_hedge:
+            limit *= 1.0 - HEDGE_RESERVE_SHARE
+        if len(self.all_sends.repeats) + 1 > limit:
             return False
-        self.repeats.append(now)
-        return True
-
-    def forget(self, now):
-        """Drop what has left the window."""
-        oldest = now - self.window_s
-        while self.requests and self.requests[0] <= oldest:
-            self.requests.popleft()
-        while self.repeats and self.repeats[0] <= oldest:
-            self.repeats.popleft()
+        return len(self.own_sends.repeats) + 1 <= self.own_limit(known, now)
--- a/oleanderroute/decisions/health.py
+++ b/oleanderroute/decisions/health.py
@@ -46,6 +46,16 @@
     LATE = 6
     # A complete answer with a server error; sound targets give some too.
     ERROR = 7
+    # A first send, and a repeated one, has begun.
+    SENT = 8
+    RESENT = 9
+    # A send was given up without a finding.
+    ENDED = 10
+
+
+STARTS = frozenset({Finding.SENT, Finding.RESENT})
+# Findings after which a send goes on.
+INTERIM = STARTS | {Finding.OVERDUE, Finding.LONG_OVERDUE}
 
 
 # Likelihood of a finding in a gray phase over that outside of one. OVERDUE is sent
@@ -131,6 +141,8 @@
         """Take a finding about a request that was sent at ``sent_at``."""
         self.advance(now)
         self.heard_at = now
+        if finding in STARTS or finding is Finding.ENDED:
+            return
         if finding is Finding.SHED:
             if is_own:
                 self.cut = PATH_CUT_PRIOR
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -1,6 +1,6 @@
 """Chooses the target of a request by the credit that it is expected to lose."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import exp
 
 from .health import TargetHealth
@@ -9,13 +9,19 @@
 # Targets whose expected losses differ by less than this are as good as equal;
 # choosing among them at random keeps hosts with the same view apart.
 JITTER = 0.04
-# Expected loss by another failure domain: its links cost and may be cut.
+# Expected loss by another failure domain: its links may be cut, and bytes between
+# failure domains cost.
 OTHER_DOMAIN_LOSS = 0.01
+OTHER_DOMAIN_LOSS_PER_MB = 4.0
+# A new connection costs both ends and takes a round trip.
+CONNECT_LOSS = 0.02
 # An answer after the objective still has some worth.
 LATE_LOSS = 0.85
 COLD_LOSS = 0.15
 # An idempotent request may explore a target that is gray with this probability.
 EXPLORE_BELOW = 0.70
+# A send whose end was not heard by then has ended or is lost.
+FORGET_SEND_S = 1.0
 # Longest time in seconds for which the want of news about a target counts.
 MAX_SILENCE_S = 3.0
 
@@ -34,6 +40,8 @@
         When this host last sent it a request.
     cold_until : float
         Monotonic seconds.
+    others_in_flight : dict
+        Host id and send number to the time, for the sends of other hosts.
     """
 
     entry: object
@@ -43,6 +51,20 @@
     own_in_flight: int = 0
     own_sent_at: float = float("-inf")
     cold_until: float = 0.0
+    others_in_flight: dict = field(default_factory=dict)
+
+    def other_sent(self, send, now):
+        """Count a send of another host; forget those whose end was not heard."""
+        in_flight = self.others_in_flight
+        in_flight[send] = now
+        for other, sent_at in list(in_flight.items()):
+            if now - sent_at < FORGET_SEND_S:
+                break
+            del in_flight[other]
+
+    def other_ended(self, send):
+        """Forget a send of another host."""
+        self.others_in_flight.pop(send, None)
 
     def in_system(self, now, drain_s):
         """Return an estimate of the requests at the target.
@@ -54,7 +76,11 @@
         """
         age_s = max(0.0, now - self.reported_at)
         reported = self.reported_in_system * exp(-age_s / max(0.01, drain_s))
-        return max(reported, float(self.own_in_flight))
+        sends = self.own_in_flight
+        for sent_at in self.others_in_flight.values():
+            if now - sent_at < FORGET_SEND_S:
+                sends += 1
+        return max(reported, float(sends))
 
     def silence_s(self, now):
         """Return for how long nothing was heard from or sent to the target."""
@@ -63,6 +89,24 @@
         return min(MAX_SILENCE_S, now - latest)
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What the choice needs to know of one request.
+
+    Attributes
+    ----------
+    objective_s : float
+    megabytes : float
+        Size of the body.
+    is_connected : callable
+        Tells by a target's id whether an idle connection is open.
+    """
+
+    objective_s: float
+    megabytes: float
+    is_connected: object
+
+
 class Selector:
     """Chooses among the targets of a service.
 
@@ -77,8 +121,9 @@
         self.failure_domain = failure_domain
         self.rng = rng
 
-    def expected_loss(self, view, latencies: LatencySample, objective_s, now):
+    def expected_loss(self, view, latencies: LatencySample, demand, now):
         """Return the share of a request's worth that a target is expected to lose."""
+        objective_s = demand.objective_s
         fails = view.health.failure_chance(now)
         median_s = latencies.quantile(0.5)
         excess = view.in_system(now, median_s) + 1.0 - view.entry.slots
@@ -90,15 +135,17 @@
         if view.cold_until > now:
             loss += COLD_LOSS
         if view.entry.failure_domain != self.failure_domain:
-            loss += OTHER_DOMAIN_LOSS
+            loss += OTHER_DOMAIN_LOSS + OTHER_DOMAIN_LOSS_PER_MB * demand.megabytes
+        if not demand.is_connected(view.entry.target_id):
+            loss += CONNECT_LOSS
         return loss
 
-    def best(self, views, latencies, objective_s, now):
+    def best(self, views, latencies, demand, now):
         """Return the view with about the least expected loss, or None."""
         best = None
         least = None
         for view in views:
-            loss = self.expected_loss(view, latencies, objective_s, now)
+            loss = self.expected_loss(view, latencies, demand, now)
             loss += self.rng.uniform(0.0, JITTER)
             if least is None or loss < least:
                 best, least = view, loss
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -256,6 +256,14 @@
             self.check_idle()
         return connections
 
+    def has_idle(self, target_id):
+        """Tell whether an idle connection to a target seems usable."""
+        connections = self.targets.get(target_id)
+        if connections is None:
+            return False
+        now = self.clock.now()
+        return any(now < connection.idle_until() for connection in connections.idle)
+
     def set_connection_limit(self, target_id, limit):
         """Bound the open connections to a target; surplus ones close when idle."""
         self.limits[target_id] = limit
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -26,6 +26,7 @@
 class SendRecord:
     """One send, as the log tells it."""
 
+    number: int
     target_id: TargetId
     started_at: float
     gray: float
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -2,7 +2,7 @@
 
 from .. import events
 from ..decisions.allowance import RepeatAllowance
-from ..decisions.health import Finding, TargetHealth
+from ..decisions.health import INTERIM, STARTS, Finding, TargetHealth
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
 from ..decisions.selection import TargetView
@@ -44,6 +44,7 @@
         self.heard_at = {}
         self.latencies = {}
         self.allowances = {}
+        self.started_at = clock.now()
         self.recovered_at = float("-inf")
         # Targets whose entry vanished while the store was recovering.
         self.held = {}
@@ -237,17 +238,22 @@
         if allowance is None:
             settings = self.settings
             allowance = self.allowances[service] = RepeatAllowance(
-                settings.retry_ratio, settings.retry_allowance, settings.retry_window_s
+                settings.retry_ratio,
+                settings.retry_allowance,
+                settings.retry_window_s,
+                self.started_at,
             )
         return allowance
 
     # Findings
 
-    def observe(self, target_id, finding, sent_at, is_own, latency_s=None, load=None):
+    def observe(self, target_id, finding, sent_at, sender, latency_s=None, load=None):
         """Take a finding of this or another host about a target.
 
         Parameters
         ----------
+        sender : tuple of (HostId, int) or None
+            Another host and the number of its send; None for this host.
         load : tuple of int, optional
             Requests at the target and its slots.
         """
@@ -255,15 +261,27 @@
         if view is None:
             return
         now = self.clock.now()
+        is_own = sender is None
+        self.count_send(view, finding, sender, now)
         before = view.health.gray
         view.health.observe(finding, sent_at, now, is_own)
         if load is not None:
             view.reported_in_system = float(load[0])
             view.reported_at = now
-        if latency_s is not None and finding is Finding.GOOD:
+        if latency_s is not None:
             self.latencies_of(view.entry.service).add(latency_s)
         self.log_turn(target_id, before, view.health, finding, is_own)
 
+    def count_send(self, view, finding, sender, now):
+        """Keep count of the sends that are at a target, and of repeated ones."""
+        if finding in STARTS:
+            allowance = self.allowance_of(view.entry.service)
+            allowance.record(finding is Finding.RESENT, sender is None, now)
+            if sender is not None:
+                view.other_sent(sender, now)
+        elif sender is not None and finding not in INTERIM:
+            view.other_ended(sender)
+
     def log_turn(self, target_id, before, health, finding, is_own):
         """Log when the belief about a target crosses one half."""
         if (before > 0.5) == (health.gray > 0.5):
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -12,8 +12,8 @@
 from ..peer.gen.oleander_messages.ttypes import Gossip, ItemChange, Observation
 from .model import StoreItem
 
-# Good findings wait this long for others; bad ones are sent at once.
-BATCH_S = 0.06
+# Findings wait this long for others; urgent ones are sent at once.
+BATCH_S = 0.02
 # A host that has nothing to tell is heard at this interval.
 BEACON_S = 0.4
 WATCHER_BEACON_S = 0.25
@@ -115,13 +115,16 @@
 
     # Sending
 
-    def report(self, target_id, finding, sent_at, latency_s=None, load=None):
+    def report(
+        self, target_id, finding, sent_at, send_number, latency_s=None, load=None
+    ):
         """Queue a finding for the other hosts."""
         age_ms = int((self.clock.now() - sent_at) * 1000)
         observation = Observation(
             target_id=target_id,
             kind=int(finding),
             age_ms=min(MAX_AGE_MS, max(0, age_ms)),
+            send_number=send_number,
         )
         if latency_s is not None:
             observation.latency_ms = int(latency_s * 1000)
@@ -237,6 +240,14 @@
                 found.append(by_id[host_id])
         return found
 
+    def heard_count(self):
+        """Return how many hosts are heard, this one included."""
+        count = 1
+        for host_id in self.view.hosts:
+            if host_id != self.settings.host_id and self.is_heard(host_id):
+                count += 1
+        return count
+
     def is_heard(self, host_id):
         """Tell whether a host was heard recently."""
         heard_at = self.heard_at.get(host_id)
@@ -274,7 +285,7 @@
         now = self.clock.now()
         self.heard_at[message.host_id] = now
         for observation in message.observations or ():
-            self.take_observation(observation, now)
+            self.take_observation(observation, message.host_id, now)
         for notice in message.crashes or ():
             self.crashes.take_notice(notice)
         self.take_changes(message)
@@ -286,7 +297,7 @@
         if self.view.replica.revision >= message.revision:
             self.view.confirmed(confirmed_at)
 
-    def take_observation(self, observation, now):
+    def take_observation(self, observation, host_id, now):
         """Apply a finding of another host."""
         try:
             finding = Finding(observation.kind)
@@ -299,8 +310,9 @@
         if observation.in_system is not None and observation.slots is not None:
             load = (observation.in_system, observation.slots)
         sent_at = now - observation.age_ms / 1000
+        sender = (host_id, observation.send_number)
         self.view.observe(
-            observation.target_id, finding, sent_at, False, latency_s, load
+            observation.target_id, finding, sent_at, sender, latency_s, load
         )
 
     def take_changes(self, message):
--- a/oleanderroute/host/sender.py
+++ b/oleanderroute/host/sender.py
@@ -1,12 +1,14 @@
 """Sends requests to targets, learns from the outcome and repeats what may repeat."""
 
 import asyncio
+import itertools
 
 from ..decisions.health import (
     LONG_OVERDUE_SHARE,
     OVERDUE_SHARE,
     Finding,
 )
+from ..decisions.selection import Demand
 from ..entry.messages import OutgoingRequest, PrefixedBody
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import (
@@ -24,11 +26,18 @@
 MAX_HEDGE_SHARE_OF_OBJECTIVE = 0.5
 # Attempts of which no byte left this host are cheap for the fleet, but take time.
 MAX_UNSENT = 4
-# With this many repeats left, idempotent requests stop to explore.
-EXPLORE_ALLOWANCE = 1.5
 # These statuses promise "not run", which only the target's own proof allows.
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 FIRST_SERVER_ERROR = 500
+BAD_FINDINGS = frozenset(
+    {
+        Finding.FAILED,
+        Finding.OVERDUE,
+        Finding.LONG_OVERDUE,
+        Finding.UNREACHABLE,
+    }
+)
+BYTES_PER_MB = 1_000_000
 
 
 class SendOutcome:
@@ -72,11 +81,10 @@
         self.crashes = crashes
         self.headers = headers
         self.clock = clock
+        self.numbers = itertools.count(1)
 
     async def run(self, exchange):
         """Return the ``CallerAnswer`` or ``TargetAnswer`` of a request."""
-        allowance = self.view.allowance_of(exchange.service)
-        allowance.record_request(self.clock.now())
         self.view.latencies_of(
             exchange.service
         ).objective_s = exchange.route.objective_s
@@ -174,7 +182,7 @@
     def hedge(self, exchange, pending):
         """Start a second send if there is a target and the allowance permits."""
         target = self.choose_best(exchange)
-        if target is None or not self.may_repeat(exchange):
+        if target is None or not self.may_repeat(exchange, is_hedge=True):
             return
         pending.add(self.start(exchange, target))
 
@@ -199,10 +207,8 @@
     def choose_first(self, exchange):
         """Choose for an idempotent request: explore while repeats are allowed."""
         now = self.clock.now()
-        if not exchange.sends:
-            allowance = self.view.allowance_of(exchange.service)
-            left = allowance.remaining(self.view.host_count, now)
-            if left > EXPLORE_ALLOWANCE and exchange.route.max_targets > 1:
+        if not exchange.sends and exchange.route.max_targets > 1:
+            if self.is_repeat_allowed(exchange, is_hedge=True):
                 latencies = self.view.latencies_of(exchange.service)
                 target = self.selector.explore(
                     self.candidates(exchange), latencies, now
@@ -216,18 +222,27 @@
         return self.selector.best(
             self.candidates(exchange),
             self.view.latencies_of(exchange.service),
-            exchange.route.objective_s,
+            Demand(
+                exchange.route.objective_s,
+                len(exchange.head.content) / BYTES_PER_MB,
+                self.pool.has_idle,
+            ),
             self.clock.now(),
         )
 
-    def may_repeat(self, exchange):
-        """Tell whether another send is allowed, and count it."""
+    def may_repeat(self, exchange, is_hedge=False):
+        """Tell whether another send of a request is allowed."""
         if not exchange.may_send_again() or self.is_late(exchange):
             return False
         if self.crashes.is_refused(exchange):
             return False
-        allowance = self.view.allowance_of(exchange.service)
-        return allowance.spend(self.view.host_count, self.clock.now())
+        return self.is_repeat_allowed(exchange, is_hedge)
+
+    def is_repeat_allowed(self, exchange, is_hedge):
+        """Tell whether the service may get one more repeated send."""
+        return self.view.allowance_of(exchange.service).may_repeat(
+            self.gossip.heard_count(), self.view.host_count, self.clock.now(), is_hedge
+        )
 
     def is_late(self, exchange):
         """Tell whether the caller or the route has given up."""
@@ -245,15 +260,22 @@
         entry = target.entry
         now = self.clock.now()
         exchange.tried.add(entry.target_id)
-        record = SendRecord(entry.target_id, now, target.health.gray, target.health.cut)
+        health = target.health
+        record = SendRecord(
+            next(self.numbers), entry.target_id, now, health.gray, health.cut
+        )
+        is_repeat = exchange.arrivals > 0
         exchange.sends.append(record)
         target.own_in_flight += 1
         target.own_sent_at = now
-        overdue = OverdueReports(self, exchange, target, now)
+        start = Finding.RESENT if is_repeat else Finding.SENT
+        self.publish(target, start, record)
+        overdue = OverdueReports(self, exchange, target, record)
         try:
             outcome = await self.exchange(exchange, target)
         except asyncio.CancelledError:
             record.result = SendResult.CANCELLED
+            self.publish(target, Finding.ENDED, record)
             raise
         finally:
             overdue.stop()
@@ -319,23 +341,21 @@
     def learn(self, target, outcome, record, stage):
         """Turn the end of a send into a finding for this and the other hosts."""
         finding = self.finding_of(target, outcome, record, stage)
-        if finding is None:
-            return
         load = None
         latency_s = None
         if outcome.answer is not None and outcome.answer.load is not None:
             running, waiting, slots = outcome.answer.load
             load = (running + waiting, slots)
-        if finding is Finding.GOOD:
+        if finding in (Finding.GOOD, Finding.LATE):
             latency_s = record.elapsed_s
-        self.publish(target, finding, record.started_at, latency_s, load)
+        self.publish(target, finding, record, latency_s, load)
 
     def finding_of(self, target, outcome, record, stage):
-        """Return what the end of a send says about its target, or None."""
+        """Return what the end of a send says about its target."""
         result = outcome.result
         if result is SendResult.NOT_SENT:
             if isinstance(outcome.view, ConnectionLimitReached):
-                return None
+                return Finding.ENDED
             return Finding.UNREACHABLE
         if result is SendResult.NOT_RUN:
             if outcome.answer.misdirected:
@@ -345,21 +365,20 @@
             return Finding.FAILED
         if result is SendResult.TIMEOUT:
             # The overdue findings have told it already, if there was time for them.
-            return None
+            return Finding.ENDED
         if outcome.answer.status >= FIRST_SERVER_ERROR:
             return Finding.ERROR
-        if stage is Finding.LONG_OVERDUE:
-            return None
-        return Finding.LATE if stage is Finding.OVERDUE else Finding.GOOD
+        return Finding.GOOD if stage is None else Finding.LATE
 
-    def publish(self, target, finding, sent_at, latency_s=None, load=None):
+    def publish(self, target, finding, record, latency_s=None, load=None):
         """Apply a finding here and tell the other hosts."""
         target_id = target.entry.target_id
-        self.view.observe(target_id, finding, sent_at, True, latency_s, load)
-        if target.health.cut > 0.5 and finding is not Finding.GOOD:
+        sent_at = record.started_at
+        self.view.observe(target_id, finding, sent_at, None, latency_s, load)
+        if target.health.cut > 0.5 and finding in BAD_FINDINGS:
             # More likely this host's path than the target; others see for themselves.
-            return
-        self.gossip.report(target_id, finding, sent_at, latency_s, load)
+            finding = Finding.ENDED
+        self.gossip.report(target_id, finding, sent_at, record.number, latency_s, load)
 
     # Ends
 
@@ -387,13 +406,13 @@
     sender : Sender
     exchange : Exchange
     target : TargetView
-    sent_at : float
+    record : SendRecord
     """
 
-    def __init__(self, sender, exchange, target, sent_at):
+    def __init__(self, sender, exchange, target, record):
         self.sender = sender
         self.target = target
-        self.sent_at = sent_at
+        self.record = record
         self.stage = None
         self.latencies = sender.view.latencies_of(exchange.service)
         loop = asyncio.get_running_loop()
@@ -403,7 +422,7 @@
     def overdue(self):
         """Tell the first age and wait for the second."""
         self.tell(Finding.OVERDUE)
-        passed_s = self.sender.clock.now() - self.sent_at
+        passed_s = self.sender.clock.now() - self.record.started_at
         wait_s = max(0.01, self.latencies.quantile(LONG_OVERDUE_SHARE) - passed_s)
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(wait_s, self.tell, Finding.LONG_OVERDUE)
@@ -411,7 +430,7 @@
     def tell(self, finding):
         """Publish one finding."""
         self.stage = finding
-        self.sender.publish(self.target, finding, self.sent_at)
+        self.sender.publish(self.target, finding, self.record)
 
     def stop(self):
         """Tell nothing more."""
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3106,6 +3106,7 @@
      - latency_ms
      - in_system
      - slots
+     - send_number
 
     """
 
@@ -3116,16 +3117,18 @@
         'latency_ms',
         'in_system',
         'slots',
+        'send_number',
     )
 
 
-    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None,):
+    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None,):
         self.target_id = target_id
         self.kind = kind
         self.age_ms = age_ms
         self.latency_ms = latency_ms
         self.in_system = in_system
         self.slots = slots
+        self.send_number = send_number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3166,6 +3169,11 @@
                     self.slots = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.send_number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3200,6 +3208,10 @@
             oprot.writeFieldBegin('slots', TType.I16, 6)
             oprot.writeI16(self.slots)
             oprot.writeFieldEnd()
+        if self.send_number is not None:
+            oprot.writeFieldBegin('send_number', TType.I32, 7)
+            oprot.writeI32(self.send_number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3210,6 +3222,8 @@
             raise TProtocolException(message='Required field kind is unset!')
         if self.age_ms is None:
             raise TProtocolException(message='Required field age_ms is unset!')
+        if self.send_number is None:
+            raise TProtocolException(message='Required field send_number is unset!')
         return
 
     def __repr__(self):
@@ -3967,6 +3981,7 @@
     (4, TType.I32, 'latency_ms', None, None, ),  # 4
     (5, TType.I16, 'in_system', None, None, ),  # 5
     (6, TType.I16, 'slots', None, None, ),  # 6
+    (7, TType.I32, 'send_number', None, None, ),  # 7
 )
 all_structs.append(ItemChange)
 ItemChange.thrift_spec = (
