--- /dev/null
+++ b/features/host.feature
@@ -0,0 +1,85 @@
+Feature: A host on the users' platform, as real processes against the stand-ins
+
+  # Guards against a wrong promise to a caller, a second run of a request that may
+  # run once, and bytes of another request.
+  Scenario Outline: host: A request meets a target in a mode
+    Given host: 1 host, targets t1 and t2
+    When host: all targets are in mode "<mode>" and "<method>" is sent to "<path>"
+    Then host: the status is one of "<status>" with seal "<seal>" after <runs> runs
+
+    Examples:
+      | mode     | method | path     | status  | seal    | runs |
+      |          | GET    | /look/1  | 200     | standin | 1    |
+      |          | POST   | /order/1 | 200     | standin | 1    |
+      | hang     | POST   | /order/1 | 504     | none    | 1    |
+      | hang     | GET    | /look/1  | 504     | none    | 2    |
+      | shed     | POST   | /order/1 | 503     | none    | 0    |
+      | shed     | GET    | /look/1  | 503     | none    | 0    |
+      | reset    | POST   | /order/1 | 502     | none    | 1    |
+      | error    | POST   | /order/1 | 500     | standin | 1    |
+      | error    | GET    | /look/1  | 500     | standin | 2    |
+      | unframed | POST   | /order/1 | 200     | standin | 1    |
+      | stray    | POST   | /order/1 | 200     | standin | 1    |
+      | unproven | POST   | /order/1 | 502     | none    | 1    |
+      | early    | POST   | /order/1 | 500     | standin | 0    |
+      |          | GET    | /none/1  | 404     | none    | 0    |
+      |          | GET    | /look    | 404     | none    | 0    |
+
+  # Guards against a host that serves or refuses by an older configuration.
+  Scenario: host: A configuration is in force on all hosts, an older or unreadable one is not
+    Given host: 3 hosts, targets t1 and t2
+    When host: version 20 adds a route "/new/"
+    Then host: each host serves "/new/1" within 2 s
+    When host: the configuration is replaced by bytes that can't be read
+    And host: version 19 without that route is written
+    Then host: each host still serves "/new/1" after 1 s
+
+  # Guards against new work for a target that leaves, by both ways of its news.
+  Scenario Outline: host: A leaving target gets no new request
+    Given host: 3 hosts, targets t1 and t2
+    When host: t1 leaves by "<way>"
+    Then host: 2 s later no host sends a request to t1
+
+    Examples:
+      | way             |
+      | a draining state |
+      | a removed entry  |
+
+  # Guards against the loss of targets and configuration while the store is away.
+  Scenario Outline: host: The store is away
+    Given host: 2 hosts, targets t1 and t2
+    When host: the store is "<fault>" for 4 s
+    Then host: requests are served during and after it
+    And host: a host that starts meanwhile takes its first copy from another host
+
+    Examples:
+      | fault  |
+      | busy   |
+      | many   |
+      | reset  |
+      | silent |
+
+  # Guards against a call to the store by every host for each change.
+  Scenario: host: One host of a failure domain watches the store
+    Given host: 3 hosts, targets t1 and t2
+    When host: nothing happens for 4 s
+    Then host: the store got at most 5 watches in these 4 s
+
+  # Guards against a host that stays deaf after the one that watched has died.
+  Scenario: host: Another host takes over the watch
+    Given host: 3 hosts, targets t1 and t2
+    When host: the watching host is killed
+    And host: version 30 adds a route "/late/"
+    Then host: each host serves "/late/1" within 4 s
+
+  # Guards against requests that a planned stop cuts.
+  Scenario: host: A stop ends the requests in flight
+    Given host: 1 host, targets t1 and t2
+    When host: an order hangs while the host is stopped
+    Then host: the host is not ready and the order is answered before the host ends
+
+  # Guards against entries of other writers that hold up the readable ones.
+  Scenario: host: Unreadable entries name no target
+    Given host: 1 host, targets t1 and t2
+    When host: strange entries are written
+    Then host: requests are served and the entries are logged
--- /dev/null
+++ b/features/host_decisions.feature
@@ -0,0 +1,73 @@
+Feature: Decisions and documents of a host on the users' platform
+
+  # Guards against beliefs that are worse than a count of recent results.
+  Scenario: host decisions: The belief about a target beats the share of its last results
+    Then host decisions: over 40 simulated targets the belief predicts failures better than the naive share
+
+  # Guards against blaming a target for this host's own cut path.
+  Scenario: host decisions: A path that is cut for one host is told from a gray target
+    Then host decisions: own failures beside good answers of others raise the path's belief above 0.5
+    And host decisions: failures that all hosts see leave the path's belief below 0.5
+
+  # Guards against a sample that holds only the answers below its own percentile.
+  Scenario: host decisions: The latency sample agrees with a sorted list
+    Then host decisions: quantiles and shares agree with the naive ones
+
+  # Guards against more repeats than the fleet may send in any window.
+  Scenario Outline: host decisions: Repeats keep the fleet's bound
+    Then host decisions: <hosts> hosts in <groups> groups that do not hear each other keep the bound
+
+    Examples:
+      | hosts | groups |
+      | 1     | 1      |
+      | 36    | 1      |
+      | 36    | 2      |
+      | 36    | 36     |
+
+  # Guards against a replica that goes back, or that differs from the store.
+  Scenario: host decisions: A replica converges whatever way its news takes
+    Then host decisions: replicas fed by events, listings and copies in any order equal the store
+
+  # Guards against hosts with the same view that all choose the same target.
+  Scenario: host decisions: Hosts with one view spread their requests
+    Then host decisions: 36 hosts that choose among 20 equal targets use at least 12 of them
+    And host decisions: a target that is believed gray gets no order while others are sound
+    And host decisions: idempotent requests go first to the target that was silent for longest
+
+  # Guards against requests on a route that is not the longest prefix.
+  Scenario: host decisions: The longest prefix wins
+    Then host decisions: routes agree with a scan over all prefixes
+
+  # Guards against input that ends the process or is taken as something else.
+  Scenario Outline: host decisions: Unusable documents are typed errors
+    Then host decisions: the <document> "<text>" is refused at "<path>"
+
+    Examples:
+      | document      | text                                                         | path                 |
+      | configuration | {                                                            | $                    |
+      | configuration | []                                                           | $                    |
+      | configuration | {"resources": []}                                            | $.version            |
+      | configuration | {"version": "zz", "resources": []}                           | $.version            |
+      | configuration | {"version": "01", "resources": [5]}                          | $.resources[0]       |
+      | configuration | {"version": "01", "resources": []}                           | $.resources          |
+      | configuration | {"version": "01", "resources": [{"resourceType": "routes", "metadata": {"name": "r"}, "spec": {"kind": "odd"}}]} | $.resources[0].kind |
+      | target        | {"info": 5}                                                  | servers/t.info       |
+      | target        | {"info": {}, "status": {"state": "off"}}                     | servers/t.status.state |
+      | target        | {"info": {"slots": 0}, "status": {"state": "ready"}, "address": "1.1.1.1:1"} | servers/t.info.slots |
+      | target        | {"info": {"slots": 2}, "status": {"state": "ready"}, "address": "1.1.1.1"} | servers/t |
+      | host          | {"address": "1.1.1.1"}                                       | oleanderroute/hosts/h.control_port |
+
+  Scenario Outline: host decisions: Unusable settings are typed errors
+    Then host decisions: settings with "<line>" are refused at "<path>"
+
+    Examples:
+      | line                         | path             |
+      | nodeName=                    | nodeName         |
+      | listen.front=nowhere         | listen.front     |
+      | platform.address=            | platform.address |
+      | heartbeatMs=often            | heartbeatMs      |
+      | internalPortRange=a,b        | internalPortRange |
+
+  # Guards against a process that stalls because nobody reads its log.
+  Scenario: host decisions: A log whose reader stalls drops lines and never waits
+    Then host decisions: 20000 records to a full pipe take less than 5 s and are counted
--- /dev/null
+++ b/features/steps/host_decisions_steps.py
@@ -0,0 +1,350 @@
+"""Steps on the decisions and documents of a host on the users' platform."""
+
+import os
+import random
+import time
+
+from behave import then
+from hypothesis import HealthCheck, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from oleanderroute.decisions.allowance import RepeatAllowance
+from oleanderroute.decisions.health import Finding, TargetHealth
+from oleanderroute.decisions.latency import LatencySample
+from oleanderroute.decisions.replica import StoreReplica
+from oleanderroute.decisions.selection import Demand, Selector, TargetView
+from oleanderroute.errors import DocumentError, SettingsError
+from oleanderroute.host.logsink import LogSink
+from oleanderroute.host.model import HostRoute, Repeatability, StoreItem, TargetEntry
+from oleanderroute.host.routes import PrefixRoutes
+from oleanderroute.platform import documents, node_file
+
+QUICKLY = settings(
+    max_examples=60, deadline=None, suppress_health_check=list(HealthCheck)
+)
+SETTINGS = (
+    "nodeName=h1\nzone=a\nregion=r\nlisten.front=127.0.0.1:1\n"
+    "listen.ready=127.0.0.1:2\nlisten.control=127.0.0.1:3\n"
+    "internalPortRange=4,5\nplatform.address=127.0.0.1:6\n"
+)
+
+
+def entry(target_id, domain="a", slots=2):
+    return TargetEntry(
+        target_id, "s", "127.0.0.1", 1, domain, slots, False, 0.0, started_ms=1
+    )
+
+
+# Beliefs
+
+
+def simulate_target(rng, seconds=60.0, per_s=6.0):
+    """Return (prediction, naive prediction, failed) of a target's requests."""
+    health = TargetHealth(0.0)
+    recent = []
+    rows = []
+    is_gray = False
+    now = 0.0
+    while now < seconds:
+        now += rng.expovariate(per_s)
+        change = 0.37 if is_gray else 0.1
+        if rng.random() < change / per_s:
+            is_gray = not is_gray
+        failed = rng.random() < (0.75 if is_gray else 0.02)
+        naive = sum(recent[-10:]) / len(recent[-10:]) if recent else 0.15
+        rows.append((health.failure_chance(now), naive, failed))
+        finding = Finding.FAILED if failed else Finding.GOOD
+        health.observe(finding, now, now, is_own=False)
+        recent.append(failed)
+    return rows
+
+
+@then(
+    "host decisions: over {count:d} simulated targets the belief predicts failures "
+    "better than the naive share"
+)
+def step_belief(context, count):
+    rng = random.Random(7)
+    rows = []
+    for _ in range(count):
+        rows += simulate_target(rng)
+    belief = sum((chance - failed) ** 2 for chance, _, failed in rows)
+    naive = sum((share - failed) ** 2 for _, share, failed in rows)
+    assert belief < naive, (belief / len(rows), naive / len(rows))
+
+
+@then(
+    "host decisions: own failures beside good answers of others raise the path's "
+    "belief above 0.5"
+)
+def step_path(context):
+    health = TargetHealth(0.0)
+    now = 0.0
+    for _ in range(4):
+        for _ in range(5):
+            now += 0.1
+            health.observe(Finding.GOOD, now, now, is_own=False)
+        now += 0.1
+        health.observe(Finding.FAILED, now, now, is_own=True)
+    assert health.cut > 0.5, health.cut
+    health.observe(Finding.GOOD, now, now, is_own=True)
+    assert health.cut < 0.1, health.cut
+
+
+@then("host decisions: failures that all hosts see leave the path's belief below 0.5")
+def step_no_path(context):
+    health = TargetHealth(0.0)
+    now = 0.0
+    for _ in range(4):
+        for is_own in (False, False, True):
+            now += 0.1
+            health.observe(Finding.FAILED, now, now, is_own)
+    assert health.cut < 0.5, health.cut
+    assert health.gray > 0.9, health.gray
+
+
+@then("host decisions: quantiles and shares agree with the naive ones")
+def step_latency(context):
+    @QUICKLY
+    @for_all(st.lists(st.floats(0.001, 5.0), min_size=40, max_size=290))
+    def check(latencies):
+        sample = LatencySample()
+        full = latencies[: len(latencies) // 10 * 10]
+        for latency in full:
+            sample.add(latency)
+        ordered = sorted(full)
+        for share in (0.1, 0.5, 0.92, 0.98):
+            assert sample.quantile(share) == ordered[int(share * len(ordered))]
+        above = sum(1 for latency in full if latency > 0.5) / len(full)
+        assert abs(sample.share_above(0.5) - above) < 1e-9
+
+    check()
+
+
+@then(
+    "host decisions: {hosts:d} hosts in {groups:d} groups that do not hear each "
+    "other keep the bound"
+)
+def step_allowance(context, hosts, groups):
+    ratio, allowance, window_s = 0.2, 58.0, 10.0
+    rng = random.Random(hosts * 100 + groups)
+    fleet = [RepeatAllowance(ratio, allowance, window_s, 0.0) for _ in range(hosts)]
+    members = [[] for _ in range(groups)]
+    for number in range(hosts):
+        members[number % groups].append(number)
+    firsts, repeats = [], []
+    now = 20.0
+    for _ in range(4000):
+        now += rng.expovariate(100.0)
+        number = rng.randrange(hosts)
+        group = members[number % groups]
+        firsts.append(now)
+        for member in group:
+            fleet[member].record(False, member == number, now)
+        # Every request fails and is tried again as often as permitted.
+        while fleet[number].may_repeat(len(group), hosts, now):
+            repeats.append(now)
+            for member in group:
+                fleet[member].record(True, member == number, now)
+        recent_first = sum(1 for at in firsts if at > now - window_s)
+        recent_repeat = sum(1 for at in repeats if at > now - window_s)
+        assert recent_repeat <= ratio * recent_first + allowance, now
+    assert repeats
+
+
+# The replica
+
+
+def store_history(rng, length):
+    """Return the events of a store and its state after each of them."""
+    events, state, states = [], {}, {0: {}}
+    for revision in range(1, length + 1):
+        key = f"k{rng.randrange(6)}"
+        if key in state and rng.random() < 0.4:
+            events.append(StoreItem(key, revision, None))
+            del state[key]
+        else:
+            item = StoreItem(key, revision, b"%d" % revision)
+            events.append(item)
+            state[key] = item
+        states[revision] = dict(state)
+    return events, states
+
+
+def feed(rng, replica, others, events, states, upto):
+    """Bring one replica news up to a revision by a random way."""
+    way = rng.randrange(3)
+    if way == 0 and replica.revision:
+        for event in events[replica.revision : upto]:
+            replica.apply(event)
+        replica.advance(upto)
+    elif way == 1:
+        replica.replace("", list(states[upto].values()), upto)
+        replica.advance(upto)
+    else:
+        other = rng.choice(others)
+        if other.revision <= replica.revision:
+            return
+        changes = other.changes_after(replica.revision)
+        if changes is None:
+            replica.replace("", list(other.items.values()), other.revision)
+        else:
+            for change in changes:
+                replica.apply(change)
+        replica.advance(other.revision)
+
+
+@then(
+    "host decisions: replicas fed by events, listings and copies in any order equal "
+    "the store"
+)
+def step_replica(context):
+    for seed in range(300):
+        rng = random.Random(seed)
+        events, states = store_history(rng, 30)
+        replicas = [StoreReplica() for _ in range(4)]
+        for _ in range(40):
+            replica = rng.choice(replicas)
+            before = replica.revision
+            upto = rng.randint(max(1, before), 30)
+            feed(rng, replica, replicas, events, states, upto)
+            assert replica.revision >= before
+            found = {key: item.value for key, item in replica.items.items()}
+            expected = states[replica.revision]
+            wanted = {key: item.value for key, item in expected.items()}
+            assert found == wanted, (seed, replica.revision, found, wanted)
+
+
+# The choice
+
+
+def make_views(count, now):
+    views = []
+    for number in range(count):
+        view = TargetView(entry(f"t{number}"), TargetHealth(now))
+        view.health.observe(Finding.GOOD, now, now, is_own=False)
+        views.append(view)
+    return views
+
+
+def demand():
+    return Demand(0.4, 0.0, lambda target_id: True)
+
+
+@then(
+    "host decisions: {hosts:d} hosts that choose among {count:d} equal targets use "
+    "at least {least:d} of them"
+)
+def step_spread(context, hosts, count, least):
+    used = set()
+    for number in range(hosts):
+        selector = Selector("a", random.Random(number))
+        views = make_views(count, 1.0)
+        chosen = selector.best(views, LatencySample(), demand(), 1.0)
+        used.add(chosen.entry.target_id)
+    assert len(used) >= least, used
+
+
+@then(
+    "host decisions: a target that is believed gray gets no order while others are "
+    "sound"
+)
+def step_gray(context):
+    views = make_views(5, 1.0)
+    for _ in range(3):
+        views[0].health.observe(Finding.FAILED, 1.0, 1.0, is_own=False)
+    selector = Selector("a", random.Random(1))
+    for _ in range(200):
+        chosen = selector.best(views, LatencySample(), demand(), 1.0)
+        assert chosen is not views[0]
+
+
+@then(
+    "host decisions: idempotent requests go first to the target that was silent for "
+    "longest"
+)
+def step_explore(context):
+    views = make_views(10, 1.0)
+    for view in views[1:]:
+        view.health.observe(Finding.GOOD, 3.0, 3.0, is_own=False)
+    selector = Selector("a", random.Random(1))
+    chosen = [selector.explore(views, LatencySample(), 3.05) for _ in range(50)]
+    assert chosen.count(views[0]) > 45
+
+
+@then("host decisions: routes agree with a scan over all prefixes")
+def step_routes(context):
+    segment = st.sampled_from(["a", "b", "ab"])
+    prefix = st.lists(segment, max_size=3).map(lambda parts: "/".join(["", *parts, ""]))
+
+    @QUICKLY
+    @for_all(st.lists(prefix, max_size=6), prefix, segment)
+    def check(prefixes, start, tail):
+        listed = []
+        for text in dict.fromkeys(prefixes):
+            listed.append(
+                HostRoute(
+                    text, "h", text, Repeatability.ONCE, 1.0, 1.0, 0, (), max_targets=1
+                )
+            )
+        path = start + tail
+        longest = None
+        for route in listed:
+            if not path.startswith(route.prefix):
+                continue
+            if longest is None or len(route.prefix) > len(longest.prefix):
+                longest = route
+        assert PrefixRoutes(listed).match("h", path) is longest
+        assert PrefixRoutes(listed).match("other", path) is None
+
+    check()
+
+
+# Documents
+
+READERS = {
+    "configuration": lambda text: documents.read_configuration(text),
+    "target": lambda text: documents.read_target("servers/t", text),
+    "host": lambda text: documents.read_host("oleanderroute/hosts/h", text),
+}
+
+
+@then('host decisions: the {document} "{text}" is refused at "{path}"')
+def step_document(context, document, text, path):
+    try:
+        READERS[document](text.encode())
+    except DocumentError as error:
+        assert error.path == path, error
+        return
+    raise AssertionError("it was accepted")
+
+
+@then('host decisions: settings with "{line}" are refused at "{path}"')
+def step_settings(context, line, path):
+    assert node_file.host_settings(node_file.parse_lines(SETTINGS)).host_id == "h1"
+    try:
+        node_file.host_settings(node_file.parse_lines(SETTINGS + line + "\n"))
+    except SettingsError as error:
+        assert error.path == path, error
+        return
+    raise AssertionError("it was accepted")
+
+
+@then(
+    "host decisions: {count:d} records to a full pipe take less than {limit_s:d} s "
+    "and are counted"
+)
+def step_log(context, count, limit_s):
+    reader, writer = os.pipe()
+    try:
+        sink = LogSink(writer)
+        started_at = time.monotonic()
+        for number in range(count):
+            sink({"message": "x" * 100, "number": number})
+        assert time.monotonic() - started_at < limit_s
+        assert sink.dropped > 0
+        assert sink.waiting_bytes <= 512 * 1024
+    finally:
+        os.close(reader)
+        os.close(writer)
--- /dev/null
+++ b/features/steps/host_steps.py
@@ -0,0 +1,233 @@
+"""Steps on hosts that run against the stand-ins of the users' platform."""
+
+import threading
+import time
+
+from behave import given, then, when
+
+from features.support.platform_fleet import ROUTES, PlatformFleet, route
+
+STRANGE_ENTRIES = {
+    "servers/x1": b"\xff\xfe not JSON",
+    "servers/x2": {"address": "127.0.0.1:1"},
+    "servers/x3": {
+        "address": 5,
+        "info": {"service": "pedidos", "zone": "mvd-a", "slots": 2},
+        "status": {"state": "ready"},
+    },
+    "servers/x4": {
+        "address": "127.0.0.1:1",
+        "info": {"service": "pedidos", "zone": "mvd-a", "slots": True},
+        "status": {"state": "ready"},
+    },
+    "servers/x5": {
+        "address": "127.0.0.1:1",
+        "info": {"service": "pedidos", "zone": "mvd-a", "slots": 2},
+        "status": {"state": "resting"},
+    },
+}
+
+
+@given("host: {count:d} host, targets t1 and t2")
+@given("host: {count:d} hosts, targets t1 and t2")
+def step_fleet(context, count):
+    fleet = PlatformFleet(context.processes)
+    context.fleet = fleet
+    context.number = 0
+    fleet.configure(10)
+    for target_id in ("t1", "t2"):
+        fleet.start_target(target_id)
+    for number in range(1, count + 1):
+        fleet.start_host(f"h{number}", number)
+    for name in fleet.hosts:
+        fleet.until(
+            lambda name=name: len(fleet.log(name, 640)) == 2, f"{name} knows t1 and t2"
+        )
+    # The allowance for repeats grows with the age of a host.
+    time.sleep(1.0)
+
+
+def send(context, host, path, method="GET", **others):
+    context.number += 1
+    return context.fleet.send(host, method, path, f"a{context.number}", **others)
+
+
+@when('host: all targets are in mode "{mode}" and "{method}" is sent to "{path}"')
+@when('host: all targets are in mode "" and "{method}" is sent to "{path}"')
+def step_mode(context, method, path, mode=""):
+    for target_id in ("t1", "t2"):
+        context.fleet.set_mode(target_id, mode)
+    body = b"x" * 300 if method == "POST" else b""
+    started_at = time.monotonic()
+    context.answer = send(context, "h1", path, method, body=body)
+    context.elapsed_s = time.monotonic() - started_at
+
+
+@then('host: the status is one of "{status}" with seal "{seal}" after {runs:d} runs')
+def step_status(context, status, seal, runs):
+    found, headers, body = context.answer
+    assert str(found) in status.split(), (found, headers, body)
+    assert headers.get("x-response-seal", "none") == seal, headers
+    assert len(context.fleet.runs()) == runs, context.fleet.runs()
+    if found == 200:
+        assert body.endswith(b"ran it"), body
+    if found == 503:
+        assert float(headers["retry-after"]) > 0, headers
+    # The route's time limit is 1.5 s; an answer is due half a second later.
+    assert context.elapsed_s < 2.0, context.elapsed_s
+
+
+@when('host: version {version:d} adds a route "{prefix}"')
+def step_add_route(context, version, prefix):
+    context.fleet.configure(version, [*ROUTES, route("r-new", "safe", prefix)])
+
+
+@then('host: each host serves "{path}" within {limit_s:d} s')
+def step_serves_within(context, path, limit_s):
+    for name, process in context.fleet.hosts.items():
+        if process.is_running():
+            context.fleet.until(
+                lambda name=name: send(context, name, path)[0] == 200,
+                f"{name} serves {path}",
+                limit_s,
+            )
+
+
+@when("host: the configuration is replaced by bytes that can't be read")
+def step_garbage(context):
+    context.fleet.put("op/config", b"{not json")
+
+
+@when("host: version {version:d} without that route is written")
+def step_older(context, version):
+    context.fleet.configure(version)
+
+
+@then('host: each host still serves "{path}" after {wait_s:d} s')
+def step_still(context, path, wait_s):
+    time.sleep(wait_s)
+    for name in context.fleet.hosts:
+        assert send(context, name, path)[0] == 200, name
+        assert len(context.fleet.log(name, 631)) == 2, context.fleet.log(name, 631)
+
+
+@when('host: t1 leaves by "{way}"')
+def step_leave(context, way):
+    fleet = context.fleet
+    if way == "a removed entry":
+        fleet.remove("servers/t1")
+        return
+    port = fleet.targets["t1"].port
+    fleet.put(
+        "servers/t1",
+        {
+            "address": f"127.0.0.1:{port}",
+            "info": {"service": "pedidos", "zone": "mvd-a", "slots": 2},
+            "status": {"state": "draining", "seqNo": 2, "coldRemainingMs": 0},
+        },
+    )
+
+
+@then("host: 2 s later no host sends a request to t1")
+def step_no_work(context):
+    time.sleep(2.0)
+    before = [run for run in context.fleet.runs() if run[1] == "t1"]
+    for name in context.fleet.hosts:
+        for _ in range(10):
+            assert send(context, name, "/look/1")[0] == 200, name
+    after = [run for run in context.fleet.runs() if run[1] == "t1"]
+    assert after == before, after
+
+
+@when('host: the store is "{fault}" for {wait_s:d} s')
+def step_fault(context, fault, wait_s):
+    fleet = context.fleet
+    fleet.store_fault(mode=fault)
+    context.during = []
+    ends_at = time.monotonic() + wait_s
+    fleet.start_host("h9", 9, wait=False)
+    while time.monotonic() < ends_at:
+        context.during.append(send(context, "h1", "/look/1")[0])
+        time.sleep(0.1)
+    context.late_ready = fleet.is_ready("h9")
+    fleet.store_fault(mode="ok")
+
+
+@then("host: requests are served during and after it")
+def step_served(context):
+    assert set(context.during) == {200}, context.during
+    time.sleep(3.0)
+    for name in ("h1", "h2"):
+        assert send(context, name, "/order/1", "POST")[0] == 200, name
+
+
+@then("host: a host that starts meanwhile takes its first copy from another host")
+def step_first_copy(context):
+    assert context.late_ready
+    assert [row["source"] for row in context.fleet.log("h9", 615)] == ["host"]
+    assert send(context, "h9", "/look/1")[0] == 200
+
+
+@when("host: nothing happens for {wait_s:d} s")
+def step_quiet(context, wait_s):
+    time.sleep(3.0)
+    before = context.fleet.store_calls().get("kv-watch", 0)
+    time.sleep(wait_s)
+    context.watches = context.fleet.store_calls().get("kv-watch", 0) - before
+
+
+@then("host: the store got at most {most:d} watches in these {wait_s:d} s")
+def step_watches(context, most, wait_s):
+    assert 1 <= context.watches <= most, context.watches
+
+
+@when("host: the watching host is killed")
+def step_kill_watcher(context):
+    fleet = context.fleet
+    time.sleep(2.0)
+    watching = []
+    for name in fleet.hosts:
+        roles = fleet.log(name, 616)
+        if roles and roles[-1]["watching"]:
+            watching.append(name)
+    assert len(watching) == 1, watching
+    fleet.hosts[watching[0]].kill()
+
+
+@when("host: an order hangs while the host is stopped")
+def step_stop(context):
+    for target_id in ("t1", "t2"):
+        context.fleet.set_mode(target_id, "hang")
+
+    def order():
+        context.answer = send(context, "h1", "/order/1", "POST")
+
+    context.thread = threading.Thread(target=order)
+    context.thread.start()
+    context.fleet.until(lambda: context.fleet.runs(), "the order runs")
+    context.fleet.hosts["h1"].terminate()
+
+
+@then("host: the host is not ready and the order is answered before the host ends")
+def step_stopped(context):
+    context.fleet.until(lambda: not context.fleet.is_ready("h1"), "not ready", 1.0)
+    context.thread.join()
+    assert context.answer[0] == 504, context.answer
+    assert context.answer[1].get("connection") == "close", context.answer
+    assert context.fleet.hosts["h1"].wait_end(6.0) == 0
+
+
+@when("host: strange entries are written")
+def step_strange(context):
+    for key, document in STRANGE_ENTRIES.items():
+        context.fleet.put(key, document)
+
+
+@then("host: requests are served and the entries are logged")
+def step_strange_logged(context):
+    fleet = context.fleet
+    fleet.until(
+        lambda: len(fleet.log("h1", 643)) == len(STRANGE_ENTRIES), "entries are logged"
+    )
+    for _ in range(10):
+        assert send(context, "h1", "/look/1")[0] == 200
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -89,13 +89,18 @@
     def read_answer_head(self):
         """Build the answer from the headers and return the declared length.
 
-        Without a length or chunks, the answer ends with its connection.
+        Raises
+        ------
+        MalformedAnswer
+            If the answer has neither a length nor chunks and the dialect does not
+            let it end with its connection.
         """
         answer = TargetAnswer(self.status, self.headers, None)
         self.answer = answer
         dialect = self.dialect
         length = -1
         chunked = False
+        encoded = False
         drop = False
         for name, value in self.headers:
             if name == b"content-length":
@@ -106,6 +111,7 @@
                 drop = True
                 if name == b"transfer-encoding":
                     chunked = value.lower() == b"chunked"
+                    encoded = not chunked
                 elif name == b"connection":
                     answer.closes = b"close" in value.lower()
                 elif name == b"keep-alive":
@@ -116,6 +122,8 @@
         if self.has_no_body():
             length = 0
         self.until_close = length < 0 and not chunked and not self.has_no_body()
+        if self.until_close and (encoded or not dialect.close_ends_answer):
+            raise MalformedAnswer("answer without length", True)
         self.stray = self.is_stray(answer, length < 0 and not chunked)
         return length
 
--- a/oleanderroute/entry/dialect.py
+++ b/oleanderroute/entry/dialect.py
@@ -8,15 +8,15 @@
 
     Attributes
     ----------
-    request_id_header : bytes or None
-        Header of a request that the target repeats in its answer. An answer with
-        another value belongs to an earlier request.
     names : frozenset of bytes
         Headers that ``read_header`` wants to see, in lower case.
+    close_ends_answer : bool
+        Whether an answer may end with its connection. One that broke off can then
+        only be told by a reset.
     """
 
-    request_id_header = None
     names = frozenset()
+    close_ends_answer = False
 
     @abstractmethod
     def read_header(self, answer, name, value):
--- a/oleanderroute/platform/headers.py
+++ b/oleanderroute/platform/headers.py
@@ -20,8 +20,8 @@
 class PlatformDialect(TargetDialect):
     """Reads the platform's headers of a target's answer."""
 
-    request_id_header = ATTEMPT_ID
     names = frozenset({NOT_EXECUTED, LOAD, ATTEMPT_ID})
+    close_ends_answer = True
 
     def read_header(self, answer, name, value):
         """Note what a header tells about the target or its answer."""
--- /dev/null
+++ b/standins/platform_target.py
@@ -0,0 +1,176 @@
+"""Stand-in of a target on the users' platform; it registers itself in the store.
+
+Run it as ``python -m standins.platform_target --store ADDRESS --id ID --service NAME``.
+A request whose path ends in ``/~MODE`` is treated in that mode: ``hang``, ``shed``,
+``reset``, ``error``, ``unframed``, ``early``, ``stray`` or ``unproven``.
+"""
+
+import asyncio
+import base64
+import json
+import socket
+import struct
+import time
+
+import click
+from aiohttp import ClientSession
+
+from .runtime import print_ready, wait_for_stop
+
+SEAL = "standin"
+HANG_S = 30.0
+SLOTS = 2
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class PlatformTarget:
+    """Answers requests and keeps a list of what it ran.
+
+    Parameters
+    ----------
+    target_id : str
+    """
+
+    def __init__(self, target_id):
+        self.target_id = target_id
+        self.runs = []
+        self.connections = 0
+        self.mode = ""
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        self.connections += 1
+        try:
+            while await self.answer_one(reader, writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer_one(self, reader, writer):
+        """Answer one request; tell whether the connection stays open."""
+        method, path, headers = await read_head(reader)
+        if path == "/control/mode":
+            self.mode = (await read_body(reader, headers)).decode()
+            self.write(writer, 200, headers, b"")
+            return True
+        if path == "/control/runs":
+            self.write(writer, 200, headers, json.dumps(self.runs).encode())
+            return True
+        mode = path.rpartition("~")[2] if "~" in path else self.mode
+        if mode == "early":
+            self.write(writer, 500, headers, b"early")
+            return True
+        body = await read_body(reader, headers)
+        expected = headers.get("x-expected-instance")
+        if expected not in (None, self.target_id):
+            self.write(writer, 421, headers, b"", instance=True)
+            return True
+        if mode == "shed":
+            self.write(writer, 503, headers, b"", not_executed=True)
+            return True
+        self.runs.append([headers.get("x-attempt-id", ""), method, path, len(body)])
+        return await self.finish(writer, headers, mode)
+
+    async def finish(self, writer, headers, mode):
+        """Answer a request that has run."""
+        content = f"{self.target_id} ran it".encode()
+        if mode == "hang":
+            await asyncio.sleep(HANG_S)
+        elif mode == "reset":
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+            return False
+        elif mode == "unframed":
+            head = f"HTTP/1.1 200 OK\r\nX-Response-Seal: {SEAL}\r\n\r\n"
+            writer.write(head.encode() + content)
+            return False
+        elif mode == "stray":
+            stray = {**headers, "x-attempt-id": "another"}
+            self.write(writer, 200, stray, b"not yours")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        status = {"error": 500, "unproven": 503}.get(mode, 200)
+        self.write(writer, status, headers, content)
+        return True
+
+    def write(self, writer, status, headers, body, not_executed=False, instance=False):
+        """Write one answer."""
+        lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+        if "x-attempt-id" in headers:
+            lines.append(f"X-Attempt-Id: {headers['x-attempt-id']}")
+        if not_executed:
+            lines.append("X-Not-Executed: 1")
+        elif instance:
+            lines.append(f"X-Instance-Id: {self.target_id}")
+        else:
+            lines.append(f"X-Response-Seal: {SEAL}")
+        lines.append(f"X-Backend-Load: 0,0,{SLOTS}")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+async def read_head(reader):
+    """Return method, path and headers in lower case."""
+    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    request_line, *lines = text.split("\r\n")[:-2]
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    method, path, _ = request_line.split(" ")
+    return method, path, headers
+
+
+async def read_body(reader, headers):
+    """Return the body of a request."""
+    if headers.get("transfer-encoding") != "chunked":
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+    body = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return body
+
+
+async def register(store, target_id, service, port, zone):
+    """Write the target's entry into the store."""
+    entry = {
+        "address": f"127.0.0.1:{port}",
+        "info": {"service": service, "version": "v1", "zone": zone, "slots": SLOTS},
+        "status": {"state": "ready", "seqNo": 1, "coldRemainingMs": 0},
+        "born": int(time.time() * 1000),
+    }
+    value = base64.b64encode(json.dumps(entry).encode()).decode()
+    put = {"key": f"servers/{target_id}", "value": value, "lease": 0}
+    async with (
+        ClientSession() as session,
+        session.post(f"http://{store}/kv-txn", json={"puts": [put]}) as response,
+    ):
+        response.raise_for_status()
+
+
+async def serve(store, target_id, service, zone):
+    """Run the target until it is stopped."""
+    target = PlatformTarget(target_id)
+    server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    await register(store, target_id, service, port, zone)
+    print_ready("platform_target", "127.0.0.1", port, id=target_id)
+    await wait_for_stop()
+
+
+@click.command()
+@click.option("--store", required=True, help="Address and port of the store.")
+@click.option("--id", "target_id", required=True, help="Id of the target.")
+@click.option("--service", required=True, help="Service that it belongs to.")
+@click.option("--zone", default="mvd-a", help="Its failure domain.")
+def main(store, target_id, service, zone):
+    """Run the stand-in of a target."""
+    asyncio.run(serve(store, target_id, service, zone))
+
+
+if __name__ == "__main__":
+    main()
