--- a/features/host.feature
+++ b/features/host.feature
@@ -83,3 +83,10 @@
     Given host: 1 host, targets t1 and t2
     When host: strange entries are written
     Then host: requests are served and the entries are logged
+
+  # Guards against a host that nobody tells anything after its key was taken away.
+  Scenario: host: A host whose key is removed announces itself again
+    Given host: 3 hosts, targets t1 and t2
+    When host: the key of h2 is removed
+    Then host: the store has the key of h2 again within 5 s
+    And host: the other hosts have never ceased to count h2
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from features.support.http import call
 from features.support.platform_fleet import ROUTES, PlatformFleet, route
 
 STRANGE_ENTRIES = {
@@ -231,3 +232,26 @@
     )
     for _ in range(10):
         assert send(context, "h1", "/look/1")[0] == 200
+
+
+@when("host: the key of h2 is removed")
+def step_remove_key(context):
+    time.sleep(1.0)
+    context.fleet.remove("oleanderroute/hosts/h2")
+
+
+@then("host: the store has the key of h2 again within {limit_s:d} s")
+def step_key_back(context, limit_s):
+    def has_key():
+        answer = call(context.fleet.store_port, "GET", "/control")
+        return "oleanderroute/hosts/h2" in answer.json()["keys"]
+
+    assert not has_key()
+    context.fleet.until(has_key, "the key is back", limit_s)
+
+
+@then("host: the other hosts have never ceased to count h2")
+def step_still_counted(context):
+    # A host that is told nothing any more starts to watch by itself.
+    roles = context.fleet.log("h2", 616)
+    assert len(roles) <= 2, roles
--- a/oleanderroute/host/crashes.py
+++ b/oleanderroute/host/crashes.py
@@ -1,12 +1,19 @@
 """Counts over the fleet which requests end the targets that run them."""
 
+import asyncio
+
 from .. import events
 from ..decisions.fingerprint import crash_fingerprint
 from ..decisions.quarantine import Quarantine
+from ..entry.target_pool import ConnectionLimitReached
+from ..errors import ConnectFailed
 from ..ids import Workspace
 from ..peer.gen.oleander_messages.ttypes import CrashNotice
 
 NO_WORKSPACE = Workspace("")
+# A connection may also break because an answer was lost. A target whose process has
+# ended refuses new connections; it is back after some seconds.
+CONFIRM_AFTER_S = 0.05
 
 
 class CrashLedger:
@@ -14,6 +21,7 @@
 
     Parameters
     ----------
+    pool : TargetPool
     clock : Clock
 
     Attributes
@@ -22,10 +30,12 @@
         Told a ``CrashNotice`` for the other hosts.
     """
 
-    def __init__(self, clock):
+    def __init__(self, pool, clock):
+        self.pool = pool
         self.clock = clock
         self.quarantine = Quarantine(clock)
         self.on_crash = None
+        self.confirming = set()
 
     def fingerprint(self, exchange):
         """Return the fingerprint of an exchange's request."""
@@ -41,8 +51,25 @@
             return False
         return self.quarantine.is_refused(self.fingerprint(exchange), self.clock.now())
 
+    def suspect(self, exchange, entry):
+        """Count a broken connection as a crash if the target is down."""
+        task = asyncio.ensure_future(self.confirm(exchange, entry))
+        self.confirming.add(task)
+        task.add_done_callback(self.confirming.discard)
+
+    async def confirm(self, exchange, entry):
+        """Ask the target for a connection, and record a crash if it has none."""
+        await asyncio.sleep(CONFIRM_AFTER_S)
+        try:
+            await self.pool.warm(entry, 1)
+        except ConnectFailed:
+            self.record(exchange, entry.target_id)
+        except ConnectionLimitReached:
+            # Busy connections show that the target goes on.
+            return
+
     def record(self, exchange, target_id):
-        """Count a connection that broke while the request ran."""
+        """Count a crash, and tell the other hosts."""
         fingerprint = self.fingerprint(exchange)
         self.count(fingerprint, target_id, exchange.attempt_id)
         if self.on_crash is not None:
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -15,6 +15,8 @@
 # Registrations that lapsed while the store was away return within two seconds of
 # its own return.
 RETURN_TIME_S = 2.2
+# A host whose key is gone stays in use while it was heard this recently.
+LAPSED_HEARD_S = 3.0
 
 
 class FleetView:
@@ -41,6 +43,8 @@
         self.targets = {}
         self.services = {}
         self.hosts = {}
+        self.lapsed_hosts = set()
+        # When each other host was last heard by datagram.
         self.heard_at = {}
         self.latencies = {}
         self.allowances = {}
@@ -178,16 +182,33 @@
         """Add or remove another host."""
         host_id = item.key.removeprefix(self.formats.HOST_PREFIX)
         if item.value is None:
-            self.hosts.pop(host_id, None)
-        else:
-            try:
-                host = self.formats.read_host(item.key, item.value)
-            except DocumentError as error:
-                events.HOST_ENTRY_REFUSED.log(host=host_id, reason=str(error))
-                return
-            self.hosts[host_id] = host
+            # Its lease may have lapsed while it serves; it counts while it is heard.
+            self.lapsed_hosts.add(host_id)
+            return
+        try:
+            host = self.formats.read_host(item.key, item.value)
+        except DocumentError as error:
+            events.HOST_ENTRY_REFUSED.log(host=host_id, reason=str(error))
+            return
+        self.hosts[host_id] = host
+        self.lapsed_hosts.discard(host_id)
         self.update_limits()
 
+    def forget_silent_hosts(self, now):
+        """Remove the hosts whose key is gone and that are not heard any more."""
+        for host_id in list(self.lapsed_hosts):
+            heard_at = self.heard_at.get(host_id)
+            if heard_at is not None and now - heard_at < LAPSED_HEARD_S:
+                continue
+            self.lapsed_hosts.discard(host_id)
+            if self.hosts.pop(host_id, None) is not None:
+                self.update_limits()
+
+    def is_registered(self):
+        """Tell whether the store has the announcement of this host."""
+        own_id = self.settings.host_id
+        return own_id in self.hosts and own_id not in self.lapsed_hosts
+
     # Derived limits
 
     @property
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -23,6 +23,8 @@
 FETCH_DELAY_S = 0.05
 LEASE_S = 12.0
 RENEW_S = 4.0
+# Time after which the news of an own write has come back.
+REGISTRATION_CHECK_S = 1.5
 ALL_KEYS = ""
 
 
@@ -235,17 +237,19 @@
 
     async def keep_registered(self):
         """Announce this host in the store and keep the announcement alive."""
-        key, value = self.formats.write_host(self.settings)
+        renewed_at = float("-inf")
         while True:
             try:
                 if self.lease is None:
-                    ttl_s = max(LEASE_S, self.settings.min_lease_s)
-                    lease, _ = await self.store.create_lease(ttl_s)
-                    await self.store.write(key, value, lease)
-                    self.lease = lease
-                else:
+                    await self.register()
+                    renewed_at = self.clock.now()
+                elif self.clock.now() - renewed_at >= RENEW_S:
                     await self.store.renew_lease(self.lease)
-                await asyncio.sleep(RENEW_S)
+                    renewed_at = self.clock.now()
+                await asyncio.sleep(REGISTRATION_CHECK_S)
+                if not self.view.is_registered():
+                    # A lease that can still be renewed may have lost its keys.
+                    self.lease = None
             except LeaseUnknown:
                 events.LEASE_LOST.log(lease=self.lease or 0)
                 self.lease = None
@@ -253,6 +257,14 @@
                 events.REGISTRATION_DELAYED.log(reason=str(error))
                 await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, 2 * RETRY_MAX_S))
 
+    async def register(self):
+        """Write the announcement under a new lease."""
+        key, value = self.formats.write_host(self.settings)
+        ttl_s = max(LEASE_S, self.settings.min_lease_s)
+        lease, _ = await self.store.create_lease(ttl_s)
+        await self.store.write(key, value, lease)
+        self.lease = lease
+
     async def withdraw(self):
         """Remove the announcement of this host."""
         if self.lease is None:
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -76,7 +76,7 @@
         self.flush_timer = None
         self.sent_at = 0.0
         self.seen = {}
-        self.heard_at = {}
+        self.heard_at = view.heard_at
         self.watcher_heard_at = None
         # Set by the follower: whether this host watches, and how news is fetched.
         self.is_watching = False
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -73,10 +73,12 @@
         )
         self.view = FleetView(settings, documents, self.clock, self.pool)
         self.view.on_configuration.append(self.configuration_changed)
-        self.crashes = CrashLedger(self.clock)
+        self.crashes = CrashLedger(self.pool, self.clock)
         self.gossip = GossipTask(self.view, self.crashes, self.clock)
         self.crashes.on_crash = self.gossip.report_crash
-        self.store = KvClient(settings.store_address, self.metrics.store_called)
+        self.store = KvClient(
+            settings.store_address, self.metrics.store_called, self.clock
+        )
         self.follower = StoreFollower(
             self.view, self.store, self.gossip, documents, self.clock, self.rng
         )
@@ -142,7 +144,7 @@
 
     async def start(self, stack):
         """Open all sockets and start all tasks."""
-        stack.push_async_callback(self.store.close)
+        stack.callback(self.store.close)
         stack.callback(self.pool.close)
         stack.callback(self.gossip.close)
         stack.callback(self.copies.close)
@@ -175,7 +177,9 @@
         """Do what is due at fixed times."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            self.view.release_held(self.clock.now())
+            now = self.clock.now()
+            self.view.release_held(now)
+            self.view.forget_silent_hosts(now)
             self.follower.finish_load("host")
             if file_stamp(self.settings_path) != self.settings_stamp:
                 self.reload_settings()
--- a/oleanderroute/host/sender.py
+++ b/oleanderroute/host/sender.py
@@ -309,7 +309,7 @@
         except MalformedAnswer:
             return SendOutcome(SendResult.MALFORMED)
         except TargetError:
-            self.crashes.record(exchange, entry.target_id)
+            self.crashes.suspect(exchange, entry)
             return SendOutcome(SendResult.BROKEN)
         if answer.not_started:
             exchange.may_have_run = may_have_run
--- a/oleanderroute/platform/kv.py
+++ b/oleanderroute/platform/kv.py
@@ -1,19 +1,23 @@
 """Client of the platform's metadata store."""
 
+import asyncio
 import base64
 import binascii
 from urllib.parse import urlencode
 
-import aiohttp
 import orjson
 
 from .. import events
+from ..declaration.model import Target
+from ..entry.messages import OutgoingRequest
+from ..entry.target_pool import TargetPool
 from ..errors import (
     HistoryLost,
     LeaseUnknown,
     StoreError,
     StoreRefused,
     StoreUnavailable,
+    TargetError,
     TransactionConflict,
 )
 from ..host.model import ItemPage, StoreItem
@@ -30,23 +34,28 @@
 class KvClient:
     """Calls the store over HTTP.
 
+    It uses the connections of the request path: importing a second HTTP library
+    would take half of the time that a host needs to start.
+
     Parameters
     ----------
     address : str
         IP number and port.
     on_call : callable
         Told the name of each call, for the metrics.
+    clock : Clock
     """
 
-    def __init__(self, address, on_call):
-        self.base = f"http://{address}"
+    def __init__(self, address, on_call, clock):
+        host, _, port = address.rpartition(":")
+        self.target = Target("store", host, int(port), "")
+        self.authority = address.encode("ascii")
         self.on_call = on_call
-        self.session = None
+        self.pool = TargetPool("", "", clock, CONNECT_TIMEOUT_S)
 
-    async def close(self):
+    def close(self):
         """Close all connections."""
-        if self.session is not None:
-            await self.session.close()
+        self.pool.close()
 
     async def read_key(self, key):
         """Return a page with the item of ``key``, or without items.
@@ -168,32 +177,38 @@
 
     async def call(self, method, path, query=None, body=None, timeout_s=CALL_TIMEOUT_S):
         """Make one call and return its status and its decoded body."""
-        if self.session is None:
-            self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
-            )
         self.on_call(path.split("/")[1])
-        url = self.base + path
+        target = path
         if query is not None:
-            url += "?" + urlencode(query)
-        data = None if body is None else orjson.dumps(body)
-        headers = {} if data is None else {"Content-Type": "application/json"}
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=min(timeout_s, CONNECT_TIMEOUT_S)
-        )
+            target += "?" + urlencode(query)
+        headers = [(b"host", self.authority)]
+        content = b""
+        if body is not None:
+            content = orjson.dumps(body)
+            headers.append((b"content-type", b"application/json"))
+        request = OutgoingRequest(method, target.encode("ascii"), headers, content)
         try:
-            async with self.session.request(
-                method, url, data=data, headers=headers, timeout=timeout
-            ) as response:
-                content = await response.read()
-                status = response.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            async with asyncio.timeout(timeout_s):
+                status, content = await self.exchange(request, timeout_s)
+        except (TimeoutError, TargetError) as error:
             reason = f"{method} {path}: {type(error).__name__} {error}"
             raise StoreUnavailable(reason) from error
         if status == 429 or status >= 500:
             raise StoreRefused(f"{method} {path}: status {status}")
         return status, decode(content)
 
+    async def exchange(self, request, timeout_s):
+        """Send a request and return the status and the whole body."""
+        # The caller's timeout ends the exchange; the pool's is only a backstop.
+        limit_s = 2 * timeout_s
+        answer = await self.pool.exchange(self.target, request, limit_s, limit_s)
+        if answer.stream is None:
+            return answer.status, answer.body
+        chunks = []
+        async for chunk in answer.chunks():
+            chunks.append(chunk)
+        return answer.status, b"".join(chunks)
+
 
 def decode(content):
     """Return the JSON object of a response."""
