--- a/oleanderroute/cli.py
+++ b/oleanderroute/cli.py
@@ -5,8 +5,10 @@
 from . import __version__
 from .commands.declarations import apply, check, diff, history
 from .commands.hosts import explain, status
+from .commands.hostsettings import settings
 from .commands.output import EXIT_CODE_HELP
 from .commands.report import report
+from .commands.story import story
 
 
 @click.group(epilog=EXIT_CODE_HELP)
@@ -30,7 +32,7 @@
     """
 
 
-for command in (check, diff, apply, history, status, explain, report):
+for command in (check, diff, apply, history, status, explain, report, story, settings):
     main.add_command(command)
 
 
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -53,9 +53,11 @@
     ----------
     settings_path : pathlib.Path
     settings : HostSettings
+    sink : LogSink
     """
 
-    def __init__(self, settings_path, settings):
+    def __init__(self, settings_path, settings, sink):
+        self.sink = sink
         self.settings_path = settings_path
         self.settings = settings
         self.settings_stamp = file_stamp(settings_path)
@@ -180,6 +182,7 @@
             now = self.clock.now()
             self.view.release_held(now)
             self.view.forget_silent_hosts(now)
+            self.metrics.log_lines_dropped.set({}, self.sink.dropped)
             self.follower.finish_load("host")
             if file_stamp(self.settings_path) != self.settings_stamp:
                 self.reload_settings()
@@ -252,12 +255,12 @@
         sys.exit(EXIT_SETTINGS)
     with contextlib.ExitStack() as stack:
         stack.callback(remove_destination, sink)
-        asyncio.run(run_host(path, settings))
+        asyncio.run(run_host(path, settings, sink))
 
 
-async def run_host(path, settings):
+async def run_host(path, settings, sink):
     """Make and run a host inside the event loop."""
-    await Host(path, settings).run()
+    await Host(path, settings, sink).run()
 
 
 if __name__ == "__main__":
