--- /dev/null
+++ b/oleanderroute/host/delivery.py
@@ -0,0 +1,154 @@
+"""Sends a request to one target and classifies what happens."""
+
+import asyncio
+import itertools
+
+from ..decisions.health import Finding
+from ..entry.messages import OutgoingRequest, PrefixedBody
+from ..entry.target_pool import ConnectionLimitReached
+from ..errors import (
+    BetweenBytesTimeout,
+    ConnectFailed,
+    FirstByteTimeout,
+    MalformedAnswer,
+    TargetError,
+)
+from .exchange import SendRecord, SendResult
+from .findings import FIRST_SERVER_ERROR, OverdueReports
+
+# These statuses promise "not run", which only the target's own proof allows.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class SendOutcome:
+    """What one send brought."""
+
+    def __init__(self, result, answer=None, error=None):
+        self.result = result
+        self.answer = answer
+        self.error = error
+
+    @property
+    def is_good(self):
+        """Whether the answer ends the request for good."""
+        return (
+            self.result is SendResult.ANSWERED
+            and self.answer.status < FIRST_SERVER_ERROR
+            and self.answer.status not in PROMISING_STATUSES
+        )
+
+
+class Delivery:
+    """Sends requests to targets, one at a time each.
+
+    Parameters
+    ----------
+    view : FleetView
+    pool : TargetPool
+    reporter : FindingReporter
+    crashes : CrashLedger
+    headers : object
+        Has ``attempt_headers(base, target_id, remaining_s)``.
+    clock : Clock
+    """
+
+    def __init__(self, view, pool, reporter, crashes, headers, clock):
+        self.view = view
+        self.pool = pool
+        self.reporter = reporter
+        self.crashes = crashes
+        self.headers = headers
+        self.clock = clock
+        self.numbers = itertools.count(1)
+
+    async def send(self, exchange, target):
+        """Send a request to one target and learn from what happens.
+
+        Returns
+        -------
+        SendOutcome
+        """
+        entry = target.entry
+        now = self.clock.now()
+        exchange.tried.add(entry.target_id)
+        health = target.health
+        record = SendRecord(
+            next(self.numbers), entry.target_id, now, health.gray, health.cut
+        )
+        is_repeat = exchange.arrivals > 0
+        exchange.sends.append(record)
+        target.own_in_flight += 1
+        target.own_sent_at = now
+        start = Finding.RESENT if is_repeat else Finding.SENT
+        self.reporter.publish(target, start, record)
+        overdue = OverdueReports(
+            self.reporter,
+            self.view.latencies_of(exchange.service),
+            self.clock,
+            target,
+            record,
+        )
+        try:
+            outcome = await self.exchange(exchange, target)
+        except asyncio.CancelledError:
+            record.result = SendResult.CANCELLED
+            self.reporter.publish(target, Finding.ENDED, record)
+            raise
+        finally:
+            overdue.stop()
+            target.own_in_flight -= 1
+            record.elapsed_s = self.clock.now() - now
+        record.result = outcome.result
+        if outcome.answer is not None:
+            record.status = outcome.answer.status
+        self.reporter.learn(target, outcome, record, overdue.stage)
+        return outcome
+
+    async def exchange(self, exchange, target):
+        """Run the exchange with a target and classify its end."""
+        entry = target.entry
+        remaining_s = exchange.deadline_at - self.clock.now()
+        outgoing = self.make_request(exchange, entry, remaining_s)
+        exchange.arrivals += 1
+        may_have_run = exchange.may_have_run
+        exchange.may_have_run = True
+        try:
+            async with asyncio.timeout(max(0.001, remaining_s)):
+                answer = await self.pool.exchange(
+                    entry, outgoing, remaining_s + 1.0, remaining_s + 1.0
+                )
+        except (ConnectFailed, ConnectionLimitReached) as error:
+            exchange.arrivals -= 1
+            exchange.may_have_run = may_have_run
+            return SendOutcome(SendResult.NOT_SENT, error=error)
+        except (TimeoutError, FirstByteTimeout, BetweenBytesTimeout):
+            return SendOutcome(SendResult.TIMEOUT)
+        except MalformedAnswer:
+            return SendOutcome(SendResult.MALFORMED)
+        except TargetError:
+            self.crashes.suspect(exchange, entry)
+            return SendOutcome(SendResult.BROKEN)
+        if answer.not_started:
+            exchange.may_have_run = may_have_run
+            return SendOutcome(SendResult.NOT_RUN, answer)
+        return SendOutcome(SendResult.ANSWERED, answer)
+
+    def make_request(self, exchange, entry, remaining_s):
+        """Return the request for one target."""
+        request = exchange.request
+        body = exchange.head.content
+        length = None
+        if not exchange.head.complete:
+            body = PrefixedBody(exchange.head.content, request.body)
+            length = request.body.length
+            exchange.body_consumed = True
+        return OutgoingRequest(
+            request.method,
+            request.raw_target,
+            self.headers.attempt_headers(
+                exchange.base_headers, entry.target_id, remaining_s
+            ),
+            body,
+            length,
+            exchange.attempt_id_bytes,
+        )
--- /dev/null
+++ b/oleanderroute/host/findings.py
@@ -0,0 +1,117 @@
+"""Turns what happens to a send into findings for this and the other hosts."""
+
+import asyncio
+
+from ..decisions.health import LONG_OVERDUE_SHARE, OVERDUE_SHARE, Finding
+from ..entry.target_pool import ConnectionLimitReached
+from .exchange import SendResult
+
+FIRST_SERVER_ERROR = 500
+BAD_FINDINGS = frozenset(
+    {
+        Finding.FAILED,
+        Finding.OVERDUE,
+        Finding.LONG_OVERDUE,
+        Finding.UNREACHABLE,
+    }
+)
+# Above this belief a failure is blamed on this host's path and not on the target.
+PATH_CUT_BELIEF = 0.5
+
+
+class FindingReporter:
+    """Applies findings here and tells them to the other hosts.
+
+    Parameters
+    ----------
+    view : FleetView
+    gossip : GossipTask
+    """
+
+    def __init__(self, view, gossip):
+        self.view = view
+        self.gossip = gossip
+
+    def learn(self, target, outcome, record, stage):
+        """Turn the end of a send into a finding for this and the other hosts."""
+        finding = finding_of(outcome, stage)
+        load = None
+        latency_s = None
+        if outcome.answer is not None and outcome.answer.load is not None:
+            running, waiting, slots = outcome.answer.load
+            load = (running + waiting, slots)
+        if finding in (Finding.GOOD, Finding.LATE):
+            latency_s = record.elapsed_s
+        self.publish(target, finding, record, latency_s, load)
+
+    def publish(self, target, finding, record, latency_s=None, load=None):
+        """Apply a finding here and tell the other hosts."""
+        target_id = target.entry.target_id
+        sent_at = record.started_at
+        self.view.observe(target_id, finding, sent_at, None, latency_s, load)
+        if target.health.cut > PATH_CUT_BELIEF and finding in BAD_FINDINGS:
+            # More likely this host's path than the target; others see for themselves.
+            finding = Finding.ENDED
+        self.gossip.report(target_id, finding, sent_at, record.number, latency_s, load)
+
+
+def finding_of(outcome, stage):
+    """Return what the end of a send says about its target."""
+    result = outcome.result
+    if result is SendResult.NOT_SENT:
+        if isinstance(outcome.error, ConnectionLimitReached):
+            return Finding.ENDED
+        return Finding.UNREACHABLE
+    if result is SendResult.NOT_RUN:
+        if outcome.answer.misdirected:
+            return Finding.UNREACHABLE
+        return Finding.SHED
+    if result in (SendResult.BROKEN, SendResult.MALFORMED):
+        return Finding.FAILED
+    if result is SendResult.TIMEOUT:
+        # The overdue findings have told it already, if there was time for them.
+        return Finding.ENDED
+    if outcome.answer.status >= FIRST_SERVER_ERROR:
+        return Finding.ERROR
+    return Finding.GOOD if stage is None else Finding.LATE
+
+
+class OverdueReports:
+    """Tells that a request has no answer yet, at two ages.
+
+    Parameters
+    ----------
+    reporter : FindingReporter
+    latencies : LatencySample
+    clock : Clock
+    target : TargetView
+    record : SendRecord
+    """
+
+    def __init__(self, reporter, latencies, clock, target, record):
+        self.reporter = reporter
+        self.latencies = latencies
+        self.clock = clock
+        self.target = target
+        self.record = record
+        self.stage = None
+        loop = asyncio.get_running_loop()
+        first_s = self.latencies.quantile(OVERDUE_SHARE)
+        self.timer = loop.call_later(first_s, self.overdue)
+
+    def overdue(self):
+        """Tell the first age and wait for the second."""
+        self.tell(Finding.OVERDUE)
+        passed_s = self.clock.now() - self.record.started_at
+        wait_s = max(0.01, self.latencies.quantile(LONG_OVERDUE_SHARE) - passed_s)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(wait_s, self.tell, Finding.LONG_OVERDUE)
+
+    def tell(self, finding):
+        """Publish one finding."""
+        self.stage = finding
+        self.reporter.publish(self.target, finding, self.record)
+
+    def stop(self):
+        """Tell nothing more."""
+        self.timer.cancel()
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -23,6 +23,8 @@
 from .application import HostApplication, status_application
 from .copies import CopyServer
 from .crashes import CrashLedger
+from .delivery import Delivery
+from .findings import FindingReporter
 from .fleetview import FleetView
 from .follower import StoreFollower
 from .gossip import GossipTask
@@ -91,13 +93,21 @@
         """Make what takes requests from callers to targets."""
         settings = self.settings
         selector = Selector(settings.failure_domain, self.rng)
+        delivery = Delivery(
+            self.view,
+            self.pool,
+            FindingReporter(self.view, self.gossip),
+            self.crashes,
+            headers,
+            self.clock,
+        )
         sender = Sender(
             self.view,
             self.pool,
             selector,
             self.gossip,
             self.crashes,
-            headers,
+            delivery,
             self.clock,
         )
         self.proxy = HostProxy(
