--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -96,7 +96,11 @@
 
 @when("host: the configuration is replaced by bytes that can't be read")
 def step_garbage(context):
-    context.fleet.put("op/config", b"{not json")
+    fleet = context.fleet
+    fleet.put("op/config", b"{not json")
+    # A host that fetches a copy sees only the last of two quick changes.
+    for name in fleet.hosts:
+        fleet.until(lambda name=name: len(fleet.log(name, 631)) == 1, f"{name} refuses")
 
 
 @when("host: version {version:d} without that route is written")
--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -211,6 +211,8 @@
   6: optional i16 slots
   // Number of the send at the observing host; joins its start and its end.
   7: required i32 send_number
+  // The host that made it, if that is not the sender of the datagram.
+  8: optional string host_id
 }
 
 // A key of the platform's store; no value for one that was removed.
@@ -220,23 +222,24 @@
   3: optional binary value
 }
 
-// Datagram between hosts.
+// Datagram between hosts. Members send theirs to the hub of their failure domain,
+// which passes them on in batches.
 struct Gossip {
   1: required string host_id
-  2: required i64 incarnation
-  3: required i32 sequence
-  4: required string failure_domain
-  // Whether the receiver passes it on inside its failure domain.
-  5: required bool forward
+  2: required string failure_domain
+  // Whether the receiver is to pass it on as a hub.
+  3: required bool to_hub
   // Revision of the store up to which the sender has followed all changes.
-  6: required i64 revision
-  // Milliseconds since the store confirmed that to the sender itself.
-  7: optional i32 confirmed_ms
-  8: optional list<Observation> observations
-  9: optional list<CrashNotice> crashes
+  4: required i64 revision
+  // Milliseconds since the store confirmed that to some host.
+  5: optional i32 confirmed_ms
+  6: optional list<Observation> observations
+  7: optional list<CrashNotice> crashes
   // Changes between this revision and the one above, if they fit.
-  10: optional i64 changes_after
-  11: optional list<ItemChange> changes
+  8: optional i64 changes_after
+  9: optional list<ItemChange> changes
+  // Hosts that the sender, a hub, has heard lately.
+  10: optional list<string> heard
 }
 
 struct CopyRequest {
--- /dev/null
+++ b/oleanderroute/decisions/hubs.py
@@ -0,0 +1,62 @@
+"""Which host of a failure domain passes the findings of its hosts on."""
+
+from .ranking import rank
+
+# A hub sends ten times a second at least; one that was silent for longer is passed
+# over for a while.
+HUB_SILENT_S = 0.4
+AVOID_S = 2.0
+
+
+class HubChoice:
+    """Chooses the hub of one failure domain, by rendezvous hashing.
+
+    Hosts may disagree for a moment. Any host that gets a message for a hub acts as
+    one for it, so that disagreement costs only messages.
+
+    Parameters
+    ----------
+    failure_domain : FailureDomain
+    own_id : HostId or None
+        This host, if it belongs to the failure domain.
+    """
+
+    def __init__(self, failure_domain, own_id=None):
+        self.key = f"hub/{failure_domain}"
+        self.own_id = own_id
+        self.avoided_until = {}
+        self.hub = None
+        self.relied_on_at = 0.0
+
+    def heard(self, host_id, now):
+        """Note that a host was heard, at monotonic seconds ``now``."""
+        self.avoided_until.pop(host_id, None)
+        if host_id == self.hub:
+            self.relied_on_at = now
+
+    def choose(self, host_ids, now):
+        """Return the hub among ``host_ids``, or None if there is no host.
+
+        Parameters
+        ----------
+        host_ids : iterable of HostId
+        now : float
+            Monotonic seconds.
+        """
+        is_other = self.hub is not None and self.hub != self.own_id
+        if is_other and now - self.relied_on_at > HUB_SILENT_S:
+            self.avoided_until[self.hub] = now + AVOID_S
+        hub = self.first_usable(rank(self.key, host_ids), now)
+        if hub != self.hub:
+            self.hub = hub
+            self.relied_on_at = now
+        return hub
+
+    def first_usable(self, ranked, now):
+        """Return the first host that is not passed over, else the first of all."""
+        for host_id in ranked:
+            if self.avoided_until.get(host_id, 0.0) <= now:
+                return host_id
+        if self.own_id is not None:
+            return self.own_id
+        return ranked[0] if ranked else None
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from .. import events
-from ..decisions.ranking import rank
 from ..errors import HistoryLost, LeaseUnknown, PeerError, StoreError
 from .copies import fetch_copy
 
@@ -11,8 +10,11 @@
 WATCH_S = 1.5
 # Pause between two long polls that had news; it gathers several changes in a call.
 GATHER_S = 0.15
-# A host starts to watch by itself when it has not heard a watcher for this long.
-WATCHER_SILENT_S = 0.9
+# A host that has heard no other for this long watches by itself.
+ALONE_S = 0.9
+# So do all when the store has confirmed nothing to any of them for this long; a
+# watcher that is well confirms every 1.7 s.
+CONFIRMED_S = 1.95
 IDLE_S = 0.1
 # Bounds of the pause after a failed call; spread, so that hosts come back apart.
 RETRY_MIN_S = 0.2
@@ -52,6 +54,7 @@
         self.settings = view.settings
         self.is_loaded = asyncio.Event()
         self.store_failing = False
+        self.is_watching = False
         self.fetching = None
         self.fetches = set()
         self.lease = None
@@ -120,8 +123,8 @@
         await self.load()
         while True:
             watches = self.must_watch(self.clock.now())
-            if watches != self.gossip.is_watching:
-                self.gossip.is_watching = watches
+            if watches != self.is_watching:
+                self.is_watching = watches
                 events.WATCH_ROLE_CHANGED.log(
                     watching=watches, revision=self.view.replica.revision
                 )
@@ -132,22 +135,15 @@
 
     def must_watch(self, now):
         """Tell whether this host calls the store itself."""
-        if not self.others_well(now):
-            return True
-        if self.store_failing:
-            # The others are told by the store; this host asks again now and then.
-            return True
-        own = self.settings
-        candidates = [own.host_id]
-        for host in self.gossip.neighbours():
-            if self.gossip.is_heard(host.host_id):
-                candidates.append(host.host_id)
-        return rank(f"watch/{own.failure_domain}", candidates)[0] == own.host_id
+        return self.gossip.is_hub or not self.others_well(now)
 
     def others_well(self, now):
-        """Tell whether another host passes the store's news on."""
-        heard_at = self.gossip.watcher_heard_at
-        return heard_at is not None and now - heard_at < WATCHER_SILENT_S
+        """Tell whether other hosts pass the store's news on."""
+        heard_at = self.gossip.last_heard_at
+        if heard_at is None or now - heard_at > ALONE_S:
+            return False
+        confirmed_at = self.view.replica.confirmed_at
+        return confirmed_at is not None and now - confirmed_at < CONFIRMED_S
 
     async def watch_once(self):
         """Make one long poll and apply what it brings."""
@@ -158,7 +154,7 @@
         except HistoryLost as error:
             events.HISTORY_LOST.log(revision=after, reason=str(error))
             if await self.load_from_store(may_lag=False):
-                self.gossip.flush()
+                self.gossip.announce([], after)
             else:
                 await self.pause()
             return
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -1,56 +1,57 @@
-"""Datagrams between hosts: findings about targets, and news of the store."""
+"""Datagrams between hosts: findings about targets, and news of the store.
+
+The hosts of a failure domain send theirs to the hub of that domain. The hub passes
+them on in batches, to its own domain and to the hubs of the others.
+"""
 
 import asyncio
-import secrets
-from collections import deque
 
 from .. import events
 from ..decisions.health import Finding
-from ..decisions.ranking import rank
+from ..decisions.hubs import HubChoice
 from ..errors import MessageRejected
 from ..peer.codec import decode_message, encode_message
 from ..peer.gen.oleander_messages.ttypes import Gossip, ItemChange, Observation
 from .model import StoreItem
 
-# Findings wait this long for others; urgent ones are sent at once.
-BATCH_S = 0.02
-# A host that has nothing to tell is heard at this interval.
+# Findings wait this long for others, at their host and at a hub; urgent ones do not.
+BATCH_S = 0.01
+HUB_BATCH_S = 0.02
+# A host that has nothing to tell is heard by its hub at this interval.
 BEACON_S = 0.4
-WATCHER_BEACON_S = 0.25
-# Hosts that were not heard for this long are taken for unreachable.
-HEARD_S = 1.5
-# A watcher whose last confirmation is older than this has lost the store.
-CONFIRMATION_S = 2.6
-# Hosts of another failure domain that pass a datagram on inside it.
-RELAYS_PER_DOMAIN = 2
+# Well below the time after which a silent hub is passed over.
+HUB_BEACON_S = 0.1
+# The hubs' list of hosts that they hear is repeated at this interval.
+HEARD_LIST_S = 0.25
+# Hosts that were not heard for this long do not count any more.
+HEARD_S = 2.0
 # Datagrams above this size may be split or lost; larger news is fetched by TCP.
-MAX_CHANGE_BYTES = 1100
-MAX_OBSERVATIONS = 60
-# Datagrams of one host of which a second copy is recognized.
-REMEMBERED_SEQUENCES = 256
+MAX_CHANGE_BYTES = 900
+MAX_OBSERVATIONS = 30
 MAX_AGE_MS = 60_000
 URGENT = frozenset(
     {Finding.FAILED, Finding.OVERDUE, Finding.LONG_OVERDUE, Finding.UNREACHABLE}
 )
 
 
-class SeenDatagrams:
-    """Recognizes second copies of the datagrams of one incarnation of a host."""
+class Outbox:
+    """What waits to be sent in one direction."""
+
+    def __init__(self):
+        self.observations = []
+        self.crashes = []
 
-    def __init__(self, incarnation):
-        self.incarnation = incarnation
-        self.order = deque()
-        self.known = set()
+    def is_empty(self):
+        """Tell whether nothing waits."""
+        return not self.observations and not self.crashes
 
-    def is_new(self, sequence):
-        """Tell whether a sequence number has not been seen, and remember it."""
-        if sequence in self.known:
-            return False
-        self.known.add(sequence)
-        self.order.append(sequence)
-        if len(self.order) > REMEMBERED_SEQUENCES:
-            self.known.discard(self.order.popleft())
-        return True
+    def take(self):
+        """Return the next observations and crashes, and keep the rest."""
+        observations = self.observations[:MAX_OBSERVATIONS]
+        self.observations = self.observations[MAX_OBSERVATIONS:]
+        crashes = self.crashes
+        self.crashes = []
+        return observations, crashes
 
 
 class GossipTask(asyncio.DatagramProtocol):
@@ -61,6 +62,15 @@
     view : FleetView
     crashes : CrashLedger
     clock : Clock
+
+    Attributes
+    ----------
+    is_hub : bool
+        Whether this host passes the datagrams of its failure domain on.
+    last_heard_at : float or None
+        When any other host was last heard.
+    on_newer : callable or None
+        Told the id of a host that knows more of the store, and its revision.
     """
 
     def __init__(self, view, crashes, clock):
@@ -68,20 +78,19 @@
         self.crashes = crashes
         self.clock = clock
         self.settings = view.settings
-        self.incarnation = secrets.randbits(48)
-        self.sequence = 0
         self.transport = None
-        self.pending = []
-        self.pending_crashes = []
-        self.flush_timer = None
+        self.is_hub = False
+        self.own = Outbox()
+        # What a hub still has to pass on inside its domain, and to other domains.
+        self.inward = Outbox()
+        self.outward = Outbox()
+        self.timers = {}
         self.sent_at = 0.0
-        self.seen = {}
+        self.heard_list_at = 0.0
         self.heard_at = view.heard_at
-        self.watcher_heard_at = None
-        # Set by the follower: whether this host watches, and how news is fetched.
-        self.is_watching = False
+        self.last_heard_at = None
+        self.hubs = {}
         self.on_newer = None
-        self.sent_bytes = 0
 
     async def start(self):
         """Open the socket."""
@@ -100,18 +109,72 @@
 
     def close(self):
         """Close the socket."""
-        if self.flush_timer is not None:
-            self.flush_timer.cancel()
+        for timer in self.timers.values():
+            timer.cancel()
         if self.transport is not None:
             self.transport.close()
 
     async def run(self):
-        """Send a beacon whenever nothing else was sent for a while."""
+        """Choose hubs, and send a beacon when nothing else was sent for a while."""
         while True:
-            interval_s = WATCHER_BEACON_S if self.is_watching else BEACON_S
-            await asyncio.sleep(interval_s / 2)
-            if self.clock.now() - self.sent_at >= interval_s:
-                self.flush()
+            self.is_hub = self.hub_of(self.settings.failure_domain) is None
+            interval_s = HUB_BEACON_S if self.is_hub else BEACON_S
+            await asyncio.sleep(min(interval_s, HUB_BEACON_S))
+            now = self.clock.now()
+            is_silent = now - self.sent_at >= interval_s
+            if self.is_hub and (is_silent or self.is_list_due(now)):
+                self.flush_inward(is_beacon=True)
+            elif is_silent:
+                self.flush_own(is_beacon=True)
+
+    def is_list_due(self, now):
+        """Tell whether a hub has to repeat which hosts it hears."""
+        return now - self.heard_list_at >= HEARD_LIST_S
+
+    # Hubs
+
+    def hub_of(self, failure_domain):
+        """Return the ``PeerHost`` that is the hub of a domain; None for this host."""
+        hosts = self.hosts_of(failure_domain)
+        own = self.settings
+        own_id = own.host_id if failure_domain == own.failure_domain else None
+        choice = self.hubs.get(failure_domain)
+        if choice is None:
+            choice = self.hubs[failure_domain] = HubChoice(failure_domain, own_id)
+        candidates = set(hosts)
+        if own_id is not None:
+            candidates.add(own_id)
+        return hosts.get(choice.choose(candidates, self.clock.now()))
+
+    def hosts_of(self, failure_domain):
+        """Return the other hosts of a failure domain by id."""
+        own_id = self.settings.host_id
+        found = {}
+        for host in self.view.hosts.values():
+            if host.failure_domain == failure_domain and host.host_id != own_id:
+                found[host.host_id] = host
+        return found
+
+    def other_hubs(self):
+        """Return the hubs of the other failure domains."""
+        domains = {host.failure_domain for host in self.view.hosts.values()}
+        domains.discard(self.settings.failure_domain)
+        found = []
+        for domain in domains:
+            hub = self.hub_of(domain)
+            if hub is not None:
+                found.append(hub)
+        return found
+
+    def heard_count(self):
+        """Return how many hosts are heard, this one included."""
+        now = self.clock.now()
+        count = 1
+        for host_id in self.view.hosts:
+            heard_at = self.heard_at.get(host_id)
+            if host_id != self.settings.host_id and heard_at is not None:
+                count += now - heard_at < HEARD_S
+        return count
 
     # Sending
 
@@ -131,22 +194,73 @@
         if load is not None:
             observation.in_system = min(load[0], 30_000)
             observation.slots = min(load[1], 30_000)
-        self.pending.append(observation)
-        if finding in URGENT or len(self.pending) >= MAX_OBSERVATIONS:
-            self.flush()
-        else:
-            self.flush_later()
+        self.own.observations.append(observation)
+        self.own_changed(finding in URGENT)
 
     def report_crash(self, notice):
         """Send a ``CrashNotice`` to the other hosts."""
-        self.pending_crashes.append(notice)
-        self.flush()
+        self.own.crashes.append(notice)
+        self.own_changed(is_urgent=True)
 
-    def flush_later(self):
-        """Send what is queued after the batching time."""
-        if self.flush_timer is None:
-            loop = asyncio.get_running_loop()
-            self.flush_timer = loop.call_later(BATCH_S, self.flush)
+    def own_changed(self, is_urgent):
+        """Send what this host has found, at once or in a batch."""
+        if not self.is_hub:
+            self.flush_soon(self.flush_own, 0.0 if is_urgent else BATCH_S)
+            return
+        for outbox in (self.inward, self.outward):
+            outbox.observations += self.own.observations
+            outbox.crashes += self.own.crashes
+        self.own = Outbox()
+        self.pass_on_soon(is_urgent)
+
+    def pass_on_soon(self, is_urgent):
+        """Pass on what a hub has collected, at once or in a batch."""
+        delay_s = 0.0 if is_urgent else HUB_BATCH_S
+        if not self.inward.is_empty():
+            self.flush_soon(self.flush_inward, delay_s)
+        if not self.outward.is_empty():
+            self.flush_soon(self.flush_outward, delay_s)
+
+    def flush_soon(self, flush, delay_s):
+        """Call ``flush`` after a delay unless it is due anyway."""
+        timer = self.timers.get(flush)
+        if timer is not None:
+            if delay_s > 0.0:
+                return
+            timer.cancel()
+        loop = asyncio.get_running_loop()
+        self.timers[flush] = loop.call_later(delay_s, flush)
+
+    def flush_own(self, is_beacon=False):
+        """Send this host's findings to its hub."""
+        self.timers.pop(self.flush_own, None)
+        hub = self.hub_of(self.settings.failure_domain)
+        if hub is None:
+            self.is_hub = True
+            self.own_changed(is_urgent=False)
+            return
+        while is_beacon or not self.own.is_empty():
+            is_beacon = False
+            self.send(self.make_message(self.own, to_hub=True), [hub])
+
+    def flush_inward(self, is_beacon=False):
+        """Send what a hub has collected to the hosts of its failure domain."""
+        self.timers.pop(self.flush_inward, None)
+        members = list(self.hosts_of(self.settings.failure_domain).values())
+        while is_beacon or not self.inward.is_empty():
+            message = self.make_message(self.inward, to_hub=False)
+            if is_beacon:
+                self.add_heard_list(message)
+                self.send(message, self.other_hubs())
+            is_beacon = False
+            self.send(message, members)
+
+    def flush_outward(self):
+        """Send what a hub has collected in its domain to the other hubs."""
+        self.timers.pop(self.flush_outward, None)
+        hubs = self.other_hubs()
+        while not self.outward.is_empty():
+            self.send(self.make_message(self.outward, to_hub=True), hubs)
 
     def announce(self, items, after):
         """Send changes of the store that follow revision ``after``.
@@ -158,100 +272,56 @@
         for item in items:
             size += len(item.key) + len(item.value or b"") + 12
             changes.append(ItemChange(item.key, item.revision, item.value))
-        if size > MAX_CHANGE_BYTES:
-            self.flush()
-            return
-        self.flush(changes, after)
-
-    def flush(self, changes=None, after=None):
-        """Send everything that is queued, or a beacon."""
-        if self.flush_timer is not None:
-            self.flush_timer.cancel()
-            self.flush_timer = None
-        if self.transport is None:
-            return
-        self.sequence += 1
-        self.sent_at = self.clock.now()
-        message = self.make_message()
-        if changes:
+        message = self.make_message(Outbox(), to_hub=not self.is_hub)
+        if 0 < size <= MAX_CHANGE_BYTES:
             message.changes = changes
             message.changes_after = after
-        has_content = bool(message.observations or message.crashes or changes)
-        direct = encode_message(message)
-        message.forward = True
-        relayed = encode_message(message)
-        for host in self.neighbours():
-            self.send(direct, host)
-        # Others learn nothing from a beacon unless it confirms the store's news.
-        if has_content or self.is_watching:
-            for host in self.relays():
-                self.send(relayed, host)
-
-    def make_message(self):
-        """Return a datagram with the queued findings."""
+        if self.is_hub:
+            members = self.hosts_of(self.settings.failure_domain).values()
+            self.send(message, [*members, *self.other_hubs()])
+            return
+        hub = self.hub_of(self.settings.failure_domain)
+        if hub is not None:
+            self.send(message, [hub])
+
+    def make_message(self, outbox, to_hub):
+        """Return a datagram with some of what waits in ``outbox``."""
         replica = self.view.replica
+        now = self.clock.now()
         message = Gossip(
             host_id=self.settings.host_id,
-            incarnation=self.incarnation,
-            sequence=self.sequence,
             failure_domain=self.settings.failure_domain,
-            forward=False,
+            to_hub=to_hub,
             revision=replica.revision,
         )
-        if self.is_watching and replica.confirmed_at is not None:
-            age_ms = int((self.sent_at - replica.confirmed_at) * 1000)
+        if replica.confirmed_at is not None:
+            age_ms = int((now - replica.confirmed_at) * 1000)
             message.confirmed_ms = min(MAX_AGE_MS, max(0, age_ms))
-        if self.pending:
-            message.observations = self.pending
-            self.pending = []
-        if self.pending_crashes:
-            message.crashes = self.pending_crashes
-            self.pending_crashes = []
+        observations, crashes = outbox.take()
+        message.observations = observations or None
+        message.crashes = crashes or None
         return message
 
-    def send(self, datagram, host):
-        """Send one datagram."""
-        self.sent_bytes += len(datagram)
-        self.transport.sendto(datagram, (host.address, host.gossip_port))
-
-    def neighbours(self):
-        """Return the other hosts of this failure domain."""
-        own = self.settings
-        found = []
-        for host in self.view.hosts.values():
-            if host.host_id == own.host_id:
-                continue
-            if host.failure_domain == own.failure_domain:
-                found.append(host)
-        return found
-
-    def relays(self):
-        """Return the hosts that pass datagrams on in the other failure domains."""
-        domains = {}
-        for host in self.view.hosts.values():
-            if host.failure_domain != self.settings.failure_domain:
-                domains.setdefault(host.failure_domain, []).append(host)
-        found = []
-        for domain, hosts in domains.items():
-            heard = [host for host in hosts if self.is_heard(host.host_id)]
-            chosen = heard if len(heard) >= RELAYS_PER_DOMAIN else hosts
-            by_id = {host.host_id: host for host in chosen}
-            for host_id in rank(f"relay/{domain}", by_id)[:RELAYS_PER_DOMAIN]:
-                found.append(by_id[host_id])
-        return found
-
-    def heard_count(self):
-        """Return how many hosts are heard, this one included."""
-        count = 1
-        for host_id in self.view.hosts:
-            if host_id != self.settings.host_id and self.is_heard(host_id):
-                count += 1
-        return count
-
-    def is_heard(self, host_id):
-        """Tell whether a host was heard recently."""
-        heard_at = self.heard_at.get(host_id)
-        return heard_at is not None and self.clock.now() - heard_at < HEARD_S
+    def add_heard_list(self, message):
+        """Tell from time to time which hosts a hub hears."""
+        now = self.clock.now()
+        if not self.is_list_due(now):
+            return
+        self.heard_list_at = now
+        heard = []
+        for host_id in self.hosts_of(self.settings.failure_domain):
+            if now - self.heard_at.get(host_id, now - HEARD_S) < HEARD_S:
+                heard.append(host_id)
+        message.heard = heard
+
+    def send(self, message, hosts):
+        """Send a datagram to each of ``hosts``."""
+        if self.transport is None:
+            return
+        self.sent_at = self.clock.now()
+        datagram = encode_message(message)
+        for host in hosts:
+            self.transport.sendto(datagram, (host.address, host.gossip_port))
 
     # Receiving
 
@@ -264,45 +334,53 @@
             return
         if message.host_id == self.settings.host_id:
             return
-        seen = self.seen.get(message.host_id)
-        if seen is None or seen.incarnation != message.incarnation:
-            seen = self.seen[message.host_id] = SeenDatagrams(message.incarnation)
-        if not seen.is_new(message.sequence):
-            return
-        if message.forward:
-            self.pass_on(message)
-        self.receive(message)
-
-    def pass_on(self, message):
-        """Send a datagram of another failure domain to the hosts of this one."""
-        message.forward = False
-        datagram = encode_message(message)
-        for host in self.neighbours():
-            self.send(datagram, host)
-
-    def receive(self, message):
-        """Take the contents of a datagram."""
         now = self.clock.now()
-        self.heard_at[message.host_id] = now
+        self.note_heard(message, now)
         for observation in message.observations or ():
-            self.take_observation(observation, message.host_id, now)
+            if observation.host_id is None:
+                observation.host_id = message.host_id
+            self.take_observation(observation, now)
         for notice in message.crashes or ():
             self.crashes.take_notice(notice)
+        if message.to_hub:
+            self.collect(message)
         self.take_changes(message)
         if message.confirmed_ms is None:
             return
-        confirmed_at = now - message.confirmed_ms / 1000
-        if now - confirmed_at < CONFIRMATION_S:
-            self.watcher_heard_at = now
         if self.view.replica.revision >= message.revision:
-            self.view.confirmed(confirmed_at)
+            self.view.confirmed(now - message.confirmed_ms / 1000)
 
-    def take_observation(self, observation, host_id, now):
+    def note_heard(self, message, now):
+        """Note which hosts are alive by a datagram."""
+        self.last_heard_at = now
+        self.heard_at[message.host_id] = now
+        for host_id in message.heard or ():
+            self.heard_at[host_id] = now
+        choice = self.hubs.get(message.failure_domain)
+        if choice is not None:
+            choice.heard(message.host_id, now)
+
+    def collect(self, message):
+        """Keep findings for the hosts that this one is a hub for."""
+        is_own_domain = message.failure_domain == self.settings.failure_domain
+        outboxes = [self.inward, self.outward] if is_own_domain else [self.inward]
+        is_urgent = bool(message.crashes)
+        for observation in message.observations or ():
+            is_urgent = is_urgent or observation.kind in URGENT
+        for outbox in outboxes:
+            outbox.observations += message.observations or ()
+            outbox.crashes += message.crashes or ()
+        self.pass_on_soon(is_urgent)
+
+    def take_observation(self, observation, now):
         """Apply a finding of another host."""
+        own_id = self.settings.host_id
         try:
             finding = Finding(observation.kind)
         except ValueError:
             return
+        if observation.host_id == own_id:
+            return
         latency_s = None
         if observation.latency_ms is not None:
             latency_s = observation.latency_ms / 1000
@@ -310,7 +388,8 @@
         if observation.in_system is not None and observation.slots is not None:
             load = (observation.in_system, observation.slots)
         sent_at = now - observation.age_ms / 1000
-        sender = (host_id, observation.send_number)
+        sender = (observation.host_id, observation.send_number)
+        self.heard_at[observation.host_id] = now
         self.view.observe(
             observation.target_id, finding, sent_at, sender, latency_s, load
         )
@@ -321,12 +400,15 @@
         if message.revision <= replica.revision:
             return
         after = message.changes_after
-        if message.changes and after is not None and after <= replica.revision:
-            items = []
-            for change in message.changes:
-                items.append(StoreItem(change.key, change.revision, change.value))
-            self.view.apply(items)
-            replica.advance(message.revision)
+        if not message.changes or after is None or after > replica.revision:
+            if self.on_newer is not None:
+                self.on_newer(message.host_id, message.revision)
             return
-        if self.on_newer is not None:
-            self.on_newer(message.host_id, message.revision)
+        items = []
+        for change in message.changes:
+            items.append(StoreItem(change.key, change.revision, change.value))
+        before = replica.revision
+        self.view.apply(items)
+        replica.advance(message.revision)
+        if self.is_hub:
+            self.announce(items, max(before, after))
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3107,6 +3107,7 @@
      - in_system
      - slots
      - send_number
+     - host_id
 
     """
 
@@ -3118,10 +3119,11 @@
         'in_system',
         'slots',
         'send_number',
+        'host_id',
     )
 
 
-    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None,):
+    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None,):
         self.target_id = target_id
         self.kind = kind
         self.age_ms = age_ms
@@ -3129,6 +3131,7 @@
         self.in_system = in_system
         self.slots = slots
         self.send_number = send_number
+        self.host_id = host_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3174,6 +3177,11 @@
                     self.send_number = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3212,6 +3220,10 @@
             oprot.writeFieldBegin('send_number', TType.I32, 7)
             oprot.writeI32(self.send_number)
             oprot.writeFieldEnd()
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 8)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3345,46 +3357,43 @@
     """
     Attributes:
      - host_id
-     - incarnation
-     - sequence
      - failure_domain
-     - forward
+     - to_hub
      - revision
      - confirmed_ms
      - observations
      - crashes
      - changes_after
      - changes
+     - heard
 
     """
 
     __slots__ = (
         'host_id',
-        'incarnation',
-        'sequence',
         'failure_domain',
-        'forward',
+        'to_hub',
         'revision',
         'confirmed_ms',
         'observations',
         'crashes',
         'changes_after',
         'changes',
+        'heard',
     )
 
 
-    def __init__(self, host_id=None, incarnation=None, sequence=None, failure_domain=None, forward=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None,):
+    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None,):
         self.host_id = host_id
-        self.incarnation = incarnation
-        self.sequence = sequence
         self.failure_domain = failure_domain
-        self.forward = forward
+        self.to_hub = to_hub
         self.revision = revision
         self.confirmed_ms = confirmed_ms
         self.observations = observations
         self.crashes = crashes
         self.changes_after = changes_after
         self.changes = changes
+        self.heard = heard
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3401,36 +3410,26 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.sequence = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 3:
                 if ftype == TType.BOOL:
-                    self.forward = iprot.readBool()
+                    self.to_hub = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.confirmed_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 6:
                 if ftype == TType.LIST:
                     self.observations = []
                     (_etype105, _size102) = iprot.readListBegin()
@@ -3441,7 +3440,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 7:
                 if ftype == TType.LIST:
                     self.crashes = []
                     (_etype111, _size108) = iprot.readListBegin()
@@ -3452,12 +3451,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 8:
                 if ftype == TType.I64:
                     self.changes_after = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.changes = []
                     (_etype117, _size114) = iprot.readListBegin()
@@ -3468,6 +3467,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.heard = []
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem125)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3482,53 +3491,52 @@
             oprot.writeFieldBegin('host_id', TType.STRING, 1)
             oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I32, 3)
-            oprot.writeI32(self.sequence)
-            oprot.writeFieldEnd()
         if self.failure_domain is not None:
-            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 2)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
-        if self.forward is not None:
-            oprot.writeFieldBegin('forward', TType.BOOL, 5)
-            oprot.writeBool(self.forward)
+        if self.to_hub is not None:
+            oprot.writeFieldBegin('to_hub', TType.BOOL, 3)
+            oprot.writeBool(self.to_hub)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 6)
+            oprot.writeFieldBegin('revision', TType.I64, 4)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.confirmed_ms is not None:
-            oprot.writeFieldBegin('confirmed_ms', TType.I32, 7)
+            oprot.writeFieldBegin('confirmed_ms', TType.I32, 5)
             oprot.writeI32(self.confirmed_ms)
             oprot.writeFieldEnd()
         if self.observations is not None:
-            oprot.writeFieldBegin('observations', TType.LIST, 8)
+            oprot.writeFieldBegin('observations', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.observations))
-            for iter120 in self.observations:
-                iter120.write(oprot)
+            for iter126 in self.observations:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.LIST, 9)
+            oprot.writeFieldBegin('crashes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter121 in self.crashes:
-                iter121.write(oprot)
+            for iter127 in self.crashes:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes_after is not None:
-            oprot.writeFieldBegin('changes_after', TType.I64, 10)
+            oprot.writeFieldBegin('changes_after', TType.I64, 8)
             oprot.writeI64(self.changes_after)
             oprot.writeFieldEnd()
         if self.changes is not None:
-            oprot.writeFieldBegin('changes', TType.LIST, 11)
+            oprot.writeFieldBegin('changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter122 in self.changes:
-                iter122.write(oprot)
+            for iter128 in self.changes:
+                iter128.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.heard))
+            for iter129 in self.heard:
+                oprot.writeString(iter129.encode('utf-8') if sys.version_info[0] == 2 else iter129)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3537,14 +3545,10 @@
     def validate(self):
         if self.host_id is None:
             raise TProtocolException(message='Required field host_id is unset!')
-        if self.incarnation is None:
-            raise TProtocolException(message='Required field incarnation is unset!')
-        if self.sequence is None:
-            raise TProtocolException(message='Required field sequence is unset!')
         if self.failure_domain is None:
             raise TProtocolException(message='Required field failure_domain is unset!')
-        if self.forward is None:
-            raise TProtocolException(message='Required field forward is unset!')
+        if self.to_hub is None:
+            raise TProtocolException(message='Required field to_hub is unset!')
         if self.revision is None:
             raise TProtocolException(message='Required field revision is unset!')
         return
@@ -3695,11 +3699,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = ItemChange()
-                        _elem128.read(iprot)
-                        self.items.append(_elem128)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = ItemChange()
+                        _elem135.read(iprot)
+                        self.items.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3724,8 +3728,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter129 in self.items:
-                iter129.write(oprot)
+            for iter136 in self.items:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3982,6 +3986,7 @@
     (5, TType.I16, 'in_system', None, None, ),  # 5
     (6, TType.I16, 'slots', None, None, ),  # 6
     (7, TType.I32, 'send_number', None, None, ),  # 7
+    (8, TType.STRING, 'host_id', 'UTF8', None, ),  # 8
 )
 all_structs.append(ItemChange)
 ItemChange.thrift_spec = (
@@ -3994,16 +3999,15 @@
 Gossip.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I32, 'sequence', None, None, ),  # 3
-    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
-    (5, TType.BOOL, 'forward', None, None, ),  # 5
-    (6, TType.I64, 'revision', None, None, ),  # 6
-    (7, TType.I32, 'confirmed_ms', None, None, ),  # 7
-    (8, TType.LIST, 'observations', (TType.STRUCT, [Observation, None], False), None, ),  # 8
-    (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 9
-    (10, TType.I64, 'changes_after', None, None, ),  # 10
-    (11, TType.LIST, 'changes', (TType.STRUCT, [ItemChange, None], False), None, ),  # 11
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'to_hub', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.I32, 'confirmed_ms', None, None, ),  # 5
+    (6, TType.LIST, 'observations', (TType.STRUCT, [Observation, None], False), None, ),  # 6
+    (7, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 7
+    (8, TType.I64, 'changes_after', None, None, ),  # 8
+    (9, TType.LIST, 'changes', (TType.STRUCT, [ItemChange, None], False), None, ),  # 9
+    (10, TType.LIST, 'heard', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
