--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -71,3 +71,13 @@
   # Guards against a process that stalls because nobody reads its log.
   Scenario: host decisions: A log whose reader stalls drops lines and never waits
     Then host decisions: 20000 records to a full pipe take less than 5 s and are counted
+
+  # Guards against hosts that wait for a dead hub, or that all become one.
+  Scenario: host decisions: Hosts agree on a hub and pass over a silent one
+    Then host decisions: 12 hosts that hear the hub agree on it
+    And host decisions: they agree on another within 0.5 s of its silence and come back to it
+    And host decisions: a host that hears nobody is its own hub in the end
+
+  # Guards against a findings datagram that is lost between outbox and hub.
+  Scenario: host decisions: Findings reach every host through hubs
+    Then host decisions: a finding of each of 6 hosts in 3 failure domains is known to all
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -1,22 +1,33 @@
 """Steps on the decisions and documents of a host on the users' platform."""
 
+import asyncio
 import os
 import random
 import time
+from types import SimpleNamespace
 
 from behave import then
 from hypothesis import HealthCheck, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
 from oleanderroute.decisions.health import Finding, TargetHealth
+from oleanderroute.decisions.hubs import HubChoice
 from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.replica import StoreReplica
 from oleanderroute.decisions.selection import Demand, Selector, TargetView
 from oleanderroute.errors import DocumentError, SettingsError
+from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.logsink import LogSink
-from oleanderroute.host.model import HostRoute, Repeatability, StoreItem, TargetEntry
+from oleanderroute.host.model import (
+    HostRoute,
+    PeerHost,
+    Repeatability,
+    StoreItem,
+    TargetEntry,
+)
 from oleanderroute.host.routes import PrefixRoutes
 from oleanderroute.platform import documents, node_file
 
@@ -348,3 +359,113 @@
     finally:
         os.close(reader)
         os.close(writer)
+
+
+# Hubs
+
+HOST_IDS = [f"h{number}" for number in range(12)]
+
+
+def hubs_of(choices, now, silent=()):
+    """Return the hubs that the hosts choose; each hears all but ``silent``."""
+    found = {}
+    for own_id, choice in choices.items():
+        if own_id in silent:
+            continue
+        if choice.hub is not None and choice.hub not in silent:
+            choice.heard(choice.hub, now)
+        found[own_id] = choice.choose(HOST_IDS, now)
+    return found
+
+
+@then("host decisions: {count:d} hosts that hear the hub agree on it")
+def step_agree(context, count):
+    context.choices = {own_id: HubChoice("a", own_id) for own_id in HOST_IDS}
+    for step in range(50):
+        context.hubs = hubs_of(context.choices, step * 0.1)
+        assert len(set(context.hubs.values())) == 1, context.hubs
+    assert len(context.hubs) == count
+
+
+@then(
+    "host decisions: they agree on another within {limit_s:g} s of its silence and "
+    "come back to it"
+)
+def step_pass_over(context, limit_s):
+    first = context.hubs["h0"]
+    now = 5.0
+    while now < 5.0 + limit_s:
+        now += 0.1
+        hubs = hubs_of(context.choices, now, silent={first})
+    assert len(set(hubs.values())) == 1, hubs
+    assert first not in hubs.values()
+    for choice in context.choices.values():
+        choice.heard(first, now)
+    assert set(hubs_of(context.choices, now + 0.1).values()) == {first}
+
+
+@then("host decisions: a host that hears nobody is its own hub in the end")
+def step_alone(context):
+    choice = HubChoice("a", "h5")
+    now = 0.0
+    while choice.choose(HOST_IDS[:6], now) != "h5":
+        now += 0.1
+        assert now < 10.0
+
+
+class FleetInMemory:
+    """Gossip tasks that are joined by function calls instead of sockets."""
+
+    def __init__(self, hosts, domains):
+        self.tasks = {}
+        listed = {}
+        for number in range(hosts):
+            host_id, domain = f"h{number}", f"d{number % domains}"
+            listed[host_id] = PeerHost(host_id, host_id, 1, 2, domain)
+        for host_id, host in listed.items():
+            self.tasks[host_id] = self.make_task(host, listed)
+        self.known = {host_id: set() for host_id in listed}
+
+    def make_task(self, host, listed):
+        view = SimpleNamespace(
+            settings=SimpleNamespace(
+                host_id=host.host_id, failure_domain=host.failure_domain
+            ),
+            hosts=listed,
+            heard_at={},
+            replica=StoreReplica(),
+            confirmed=lambda at: None,
+            observe=lambda target, finding, sent_at, sender, *rest: self.known[
+                host.host_id
+            ].add((sender, target)),
+        )
+        task = GossipTask(view, None, SystemClock())
+        task.transport = SimpleNamespace(sendto=self.deliver, close=lambda: None)
+        return task
+
+    def deliver(self, datagram, address):
+        self.tasks[address[0]].datagram_received(datagram, ("127.0.0.1", 1))
+
+
+@then(
+    "host decisions: a finding of each of {hosts:d} hosts in {domains:d} failure "
+    "domains is known to all"
+)
+def step_findings(context, hosts, domains):
+    async def spread():
+        fleet = FleetInMemory(hosts, domains)
+        running = [asyncio.ensure_future(task.run()) for task in fleet.tasks.values()]
+        await asyncio.sleep(0.05)
+        for task in fleet.tasks.values():
+            task.report("t", Finding.GOOD, time.monotonic(), 1)
+        await asyncio.sleep(0.3)
+        for work in running:
+            work.cancel()
+        for task in fleet.tasks.values():
+            task.close()
+        return fleet.known
+
+    known = asyncio.run(spread())
+    for host_id, found in known.items():
+        others = {((other, 1), "t") for other in known if other != host_id}
+        assert found == others, (host_id, others - found, found - others)
