--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -78,6 +78,22 @@
     And host decisions: they agree on another within 0.5 s of its silence and come back to it
     And host decisions: a host that hears nobody is its own hub in the end
 
+  # Guards against a failure domain that hears nothing because the store refuses its
+  # hub (CONFIG broken, hunt of papelitos-gw, day hunt-2fd7-11).
+  Scenario Outline: host decisions: The hub appoints a watcher that the store serves
+    Then host decisions: with the store lost by "<lost>" of h0 to h3 the hub h1 appoints <watcher>
+
+    Examples:
+      | lost        | watcher      |
+      |             | h1           |
+      | h0          | h1           |
+      | h1          | another      |
+      | h0,h1,h2    | h3           |
+      | h0,h1,h2,h3 | h1           |
+
+  Scenario: host decisions: Hosts learn whom the hub has appointed
+    Then host decisions: when the store is lost by a hub, one other host of its domain is appointed within 0.3 s
+
   # Guards against a findings datagram that is lost between outbox and hub.
   Scenario: host decisions: Findings reach every host through hubs
     Then host decisions: a finding of each of 6 hosts in 3 failure domains is known to all
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -14,7 +14,7 @@
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
 from oleanderroute.decisions.health import Finding, TargetHealth
-from oleanderroute.decisions.hubs import HubChoice
+from oleanderroute.decisions.hubs import HubChoice, appoint_watcher
 from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.replica import StoreReplica
 from oleanderroute.decisions.selection import Demand, Selector, TargetView
@@ -469,3 +469,45 @@
     for host_id, found in known.items():
         others = {((other, 1), "t") for other in known if other != host_id}
         assert found == others, (host_id, others - found, found - others)
+
+
+@then(
+    'host decisions: with the store lost by "{names}" of h0 to h3 the hub h1 appoints '
+    "{watcher}"
+)
+@then(
+    'host decisions: with the store lost by "" of h0 to h3 the hub h1 appoints '
+    "{watcher}"
+)
+def step_appoint(context, watcher, names=""):
+    lost = {f"h{number}": f"h{number}" in names.split(",") for number in range(4)}
+    found = appoint_watcher("a", "h1", lost)
+    if watcher == "another":
+        assert found != "h1" and not lost[found], found
+        return
+    assert found == watcher, found
+
+
+@then(
+    "host decisions: when the store is lost by a hub, one other host of its domain is "
+    "appointed within {limit_s:g} s"
+)
+def step_appointed(context, limit_s):
+    async def lose():
+        fleet = FleetInMemory(4, 1)
+        running = [asyncio.ensure_future(task.run()) for task in fleet.tasks.values()]
+        await asyncio.sleep(0.6)
+        before = {task.watcher for task in fleet.tasks.values()}
+        hub = next(task for task in fleet.tasks.values() if task.is_hub)
+        hub.set_store_lost(True)
+        await asyncio.sleep(limit_s)
+        after = {task.watcher for task in fleet.tasks.values()}
+        for work in running:
+            work.cancel()
+        for task in fleet.tasks.values():
+            task.close()
+        return hub.settings.host_id, before, after
+
+    hub_id, before, after = asyncio.run(lose())
+    assert before == {hub_id}, (hub_id, before)
+    assert len(after) == 1 and hub_id not in after, (hub_id, after)
--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -240,6 +240,10 @@
   9: optional list<ItemChange> changes
   // Hosts that the sender, a hub, has heard lately.
   10: optional list<string> heard
+  // Whether the store fails the calls of the sender.
+  11: optional bool store_lost
+  // The host that the sender, a hub, wants to watch the store.
+  12: optional string watcher
 }
 
 struct CopyRequest {
--- a/oleanderroute/decisions/hubs.py
+++ b/oleanderroute/decisions/hubs.py
@@ -60,3 +60,25 @@
         if self.own_id is not None:
             return self.own_id
         return ranked[0] if ranked else None
+
+
+def appoint_watcher(failure_domain, own_id, lost):
+    """Return the host that is to watch the store for a failure domain.
+
+    The hub itself watches unless the store fails its calls.
+
+    Parameters
+    ----------
+    failure_domain : FailureDomain
+    own_id : HostId
+        The hub.
+    lost : dict of HostId to bool
+        Whether the store fails the calls of a host, for the hub and the hosts that
+        it hears.
+    """
+    if not lost[own_id]:
+        return own_id
+    served = [host_id for host_id, is_lost in lost.items() if not is_lost]
+    if not served:
+        return own_id
+    return rank(f"watch/{failure_domain}", served)[0]
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -7,14 +7,14 @@
 from .copies import fetch_copy
 
 # Length of a long poll. A connection that went silent is noticed this much later.
-WATCH_S = 1.5
+WATCH_S = 1.0
 # Pause between two long polls that had news; it gathers several changes in a call.
 GATHER_S = 0.15
 # A host that has heard no other for this long watches by itself.
 ALONE_S = 0.9
 # So do all when the store has confirmed nothing to any of them for this long; a
-# watcher that is well confirms every 1.7 s.
-CONFIRMED_S = 1.95
+# watcher that is well confirms every 1.2 s.
+CONFIRMED_S = 1.5
 IDLE_S = 0.1
 # Bounds of the pause after a failed call; spread, so that hosts come back apart.
 RETRY_MIN_S = 0.2
@@ -25,6 +25,8 @@
 FETCH_DELAY_S = 0.05
 LEASE_S = 12.0
 RENEW_S = 4.0
+# Least pause after a failed announcement; the host serves meanwhile.
+REGISTRATION_RETRY_S = 0.8
 # Time after which the news of an own write has come back.
 REGISTRATION_CHECK_S = 1.5
 ALL_KEYS = ""
@@ -135,7 +137,8 @@
 
     def must_watch(self, now):
         """Tell whether this host calls the store itself."""
-        return self.gossip.is_hub or not self.others_well(now)
+        is_appointed = self.gossip.watcher == self.settings.host_id
+        return is_appointed or not self.others_well(now)
 
     def others_well(self, now):
         """Tell whether other hosts pass the store's news on."""
@@ -174,6 +177,7 @@
         if self.store_failing:
             events.STORE_REGAINED.log(revision=self.view.replica.revision)
         self.store_failing = False
+        self.gossip.set_store_lost(False)
         self.view.confirmed(self.clock.now())
 
     def store_failed(self, error):
@@ -181,6 +185,7 @@
         if not self.store_failing:
             events.STORE_LOST.log(reason=str(error))
         self.store_failing = True
+        self.gossip.set_store_lost(True)
 
     async def pause(self):
         """Wait before the next call after a failure."""
@@ -242,6 +247,7 @@
                 elif self.clock.now() - renewed_at >= RENEW_S:
                     await self.store.renew_lease(self.lease)
                     renewed_at = self.clock.now()
+                    self.gossip.set_store_lost(self.store_failing)
                 await asyncio.sleep(REGISTRATION_CHECK_S)
                 if not self.view.is_registered():
                     # A lease that can still be renewed may have lost its keys.
@@ -251,7 +257,8 @@
                 self.lease = None
             except StoreError as error:
                 events.REGISTRATION_DELAYED.log(reason=str(error))
-                await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, 2 * RETRY_MAX_S))
+                self.gossip.set_store_lost(True)
+                await asyncio.sleep(self.rng.uniform(1.0, 2.0) * REGISTRATION_RETRY_S)
 
     async def register(self):
         """Write the announcement under a new lease."""
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -8,7 +8,7 @@
 
 from .. import events
 from ..decisions.health import Finding
-from ..decisions.hubs import HubChoice
+from ..decisions.hubs import HubChoice, appoint_watcher
 from ..errors import MessageRejected
 from ..peer.codec import decode_message, encode_message
 from ..peer.gen.oleander_messages.ttypes import Gossip, ItemChange, Observation
@@ -69,6 +69,10 @@
         Whether this host passes the datagrams of its failure domain on.
     last_heard_at : float or None
         When any other host was last heard.
+    store_lost : bool
+        Whether the store fails the calls of this host.
+    watcher : HostId or None
+        The host that is to watch the store for this failure domain.
     on_newer : callable or None
         Told the id of a host that knows more of the store, and its revision.
     """
@@ -90,6 +94,10 @@
         self.heard_at = view.heard_at
         self.last_heard_at = None
         self.hubs = {}
+        self.store_lost = False
+        # Which hosts have told that the store fails their calls.
+        self.lost = {}
+        self.watcher = None
         self.on_newer = None
 
     async def start(self):
@@ -118,6 +126,8 @@
         """Choose hubs, and send a beacon when nothing else was sent for a while."""
         while True:
             self.is_hub = self.hub_of(self.settings.failure_domain) is None
+            if self.is_hub:
+                self.appoint()
             interval_s = HUB_BEACON_S if self.is_hub else BEACON_S
             await asyncio.sleep(min(interval_s, HUB_BEACON_S))
             now = self.clock.now()
@@ -133,6 +143,27 @@
 
     # Hubs
 
+    def appoint(self):
+        """Choose, as the hub, the host that watches the store."""
+        own = self.settings
+        now = self.clock.now()
+        lost = {own.host_id: self.store_lost}
+        for host_id in self.hosts_of(own.failure_domain):
+            if now - self.heard_at.get(host_id, now - HEARD_S) < HEARD_S:
+                lost[host_id] = self.lost.get(host_id, False)
+        self.watcher = appoint_watcher(own.failure_domain, own.host_id, lost)
+
+    def set_store_lost(self, is_lost):
+        """Tell the others at once when the store begins or ceases to fail calls."""
+        if is_lost == self.store_lost:
+            return
+        self.store_lost = is_lost
+        if self.is_hub:
+            self.appoint()
+            self.flush_inward(is_beacon=True)
+        else:
+            self.flush_own(is_beacon=True)
+
     def hub_of(self, failure_domain):
         """Return the ``PeerHost`` that is the hub of a domain; None for this host."""
         hosts = self.hosts_of(failure_domain)
@@ -293,7 +324,10 @@
             failure_domain=self.settings.failure_domain,
             to_hub=to_hub,
             revision=replica.revision,
+            store_lost=self.store_lost,
         )
+        if self.is_hub:
+            message.watcher = self.watcher
         if replica.confirmed_at is not None:
             age_ms = int((now - replica.confirmed_at) * 1000)
             message.confirmed_ms = min(MAX_AGE_MS, max(0, age_ms))
@@ -354,6 +388,10 @@
         """Note which hosts are alive by a datagram."""
         self.last_heard_at = now
         self.heard_at[message.host_id] = now
+        self.lost[message.host_id] = bool(message.store_lost)
+        is_own_domain = message.failure_domain == self.settings.failure_domain
+        if message.watcher is not None and is_own_domain and not self.is_hub:
+            self.watcher = message.watcher
         for host_id in message.heard or ():
             self.heard_at[host_id] = now
         choice = self.hubs.get(message.failure_domain)
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3366,6 +3366,8 @@
      - changes_after
      - changes
      - heard
+     - store_lost
+     - watcher
 
     """
 
@@ -3380,10 +3382,12 @@
         'changes_after',
         'changes',
         'heard',
+        'store_lost',
+        'watcher',
     )
 
 
-    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None,):
+    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None,):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.to_hub = to_hub
@@ -3394,6 +3398,8 @@
         self.changes_after = changes_after
         self.changes = changes
         self.heard = heard
+        self.store_lost = store_lost
+        self.watcher = watcher
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3477,6 +3483,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.store_lost = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.watcher = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3539,6 +3555,14 @@
                 oprot.writeString(iter129.encode('utf-8') if sys.version_info[0] == 2 else iter129)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_lost is not None:
+            oprot.writeFieldBegin('store_lost', TType.BOOL, 11)
+            oprot.writeBool(self.store_lost)
+            oprot.writeFieldEnd()
+        if self.watcher is not None:
+            oprot.writeFieldBegin('watcher', TType.STRING, 12)
+            oprot.writeString(self.watcher.encode('utf-8') if sys.version_info[0] == 2 else self.watcher)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4008,6 +4032,8 @@
     (8, TType.I64, 'changes_after', None, None, ),  # 8
     (9, TType.LIST, 'changes', (TType.STRUCT, [ItemChange, None], False), None, ),  # 9
     (10, TType.LIST, 'heard', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.BOOL, 'store_lost', None, None, ),  # 11
+    (12, TType.STRING, 'watcher', 'UTF8', None, ),  # 12
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
--- a/oleanderroute/platform/kv.py
+++ b/oleanderroute/platform/kv.py
@@ -25,7 +25,7 @@
 # The store answers in 4 ms while it is well; a longer wait means trouble.
 CALL_TIMEOUT_S = 1.0
 # A long poll is given this much more than it asked the store to wait.
-POLL_MARGIN_S = 0.7
+POLL_MARGIN_S = 0.5
 CONNECT_TIMEOUT_S = 0.6
 # Three pages of 500 items are ample for a fleet; more is a fault of the store.
 MAX_PAGES = 200
