--- a/features/host.feature
+++ b/features/host.feature
@@ -90,3 +90,9 @@
     When host: the key of h2 is removed
     Then host: the store has the key of h2 again within 5 s
     And host: the other hosts have never ceased to count h2
+
+  # Guards against a host that ends because a port for scrapers is taken.
+  Scenario: host: A taken metrics port does not end the host
+    Given host: 1 host, targets t1 and t2
+    When host: a second host starts on the address of the first
+    Then host: both serve requests and the second logs the taken port
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -7,6 +7,7 @@
 
 from features.support.http import call
 from features.support.platform_fleet import ROUTES, PlatformFleet, route
+from features.support.processes import PORTS
 
 STRANGE_ENTRIES = {
     "servers/x1": b"\xff\xfe not JSON",
@@ -259,3 +260,16 @@
     # A host that is told nothing any more starts to watch by itself.
     roles = context.fleet.log("h2", 616)
     assert len(roles) <= 2, roles
+
+
+@when("host: a second host starts on the address of the first")
+def step_same_address(context):
+    context.fleet.start_host("h2", 1, wait=False, gossip_port=PORTS.next())
+    context.fleet.until(lambda: context.fleet.is_ready("h2"), "h2 is ready")
+
+
+@then("host: both serve requests and the second logs the taken port")
+def step_both_serve(context):
+    for name in ("h1", "h2"):
+        assert send(context, name, "/look/1")[0] == 200, name
+    assert len(context.fleet.log("h2", 602)) == 1
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -110,8 +110,10 @@
                 found.append((row[0], target_id))
         return found
 
-    def start_host(self, name, number, zone="mvd-a", wait=True):
-        """Start a host on a loopback address of its own."""
+    def start_host(self, name, number, zone="mvd-a", wait=True, gossip_port=None):
+        """Start a host on the loopback address with a number."""
+        # The gossip port is the same on all hosts, as on the platform.
+        gossip_port = gossip_port or self.store_port
         address = f"127.0.0.{number}"
         ports = [PORTS.next() for _ in range(4)]
         path = self.group.directory / f"{name}.conf"
@@ -122,8 +124,7 @@
             f"listen.front={address}:{ports[0]}",
             f"listen.ready={address}:{ports[1]}",
             f"listen.control={address}:{ports[2]}",
-            # The gossip port is the same on all hosts, as on the platform.
-            f"internalPortRange={self.store_port},{self.store_port}",
+            f"internalPortRange={gossip_port},{gossip_port}",
             f"seeds={','.join(self.seeds())}",
             f"platform.address=127.0.0.1:{self.store_port}",
             "platform.ttlMinMs=1000",
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -342,6 +342,17 @@
     Level.INFO,
     ("host",),
 )
+METRICS_PORT_TAKEN = define(
+    602,
+    "metrics_port_taken",
+    "The fixed port for metrics can't be opened; the readiness port serves them too.",
+    Level.WARNING,
+    (
+        "port",
+        "reason",
+    ),
+    "Find out which process listens on the port, or scrape the readiness port.",
+)
 STORE_LOST = define(
     610,
     "store_lost",
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -125,10 +125,10 @@
             clock=self.clock,
         )
         status = status_application(self.is_ready, self.metrics)
-        self.status_servers = [
-            CallerServer(status, settings.address, settings.readiness_port),
-            CallerServer(status, settings.address, METRICS_PORT),
-        ]
+        self.status_server = CallerServer(
+            status, settings.address, settings.readiness_port
+        )
+        self.metrics_server = CallerServer(status, settings.address, METRICS_PORT)
 
     def is_ready(self):
         """Tell whether new connections are welcome."""
@@ -162,8 +162,8 @@
         stack.callback(self.copies.close)
         await self.gossip.start()
         await self.copies.start()
-        for server in self.status_servers:
-            await server.start()
+        await self.status_server.start()
+        await self.start_metrics()
         await self.caller_server.start()
         self.watch_signals()
         for work in (
@@ -178,6 +178,13 @@
             host=self.settings.host_id, caller_port=self.settings.caller_port
         )
 
+    async def start_metrics(self):
+        """Open the fixed port for scrapers; callers are served without it too."""
+        try:
+            await self.metrics_server.start()
+        except OSError as error:
+            events.METRICS_PORT_TAKEN.log(port=METRICS_PORT, reason=str(error))
+
     def watch_signals(self):
         """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
         loop = asyncio.get_running_loop()
