--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -65,7 +65,7 @@
       | nodeName=                    | nodeName         |
       | listen.front=nowhere         | listen.front     |
       | platform.address=            | platform.address |
-      | heartbeatMs=often            | heartbeatMs      |
+      | platform.ttlMinMs=often      | platform.ttlMinMs |
       | internalPortRange=a,b        | internalPortRange |
 
   # Guards against a process that stalls because nobody reads its log.
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -80,10 +80,6 @@
     """The store does not know a lease any more."""
 
 
-class TransactionConflict(StoreError):
-    """A conditional write found another revision of its key."""
-
-
 class DocumentError(OleanderError):
     """A document of the platform can't be used.
 
--- a/oleanderroute/host/application.py
+++ b/oleanderroute/host/application.py
@@ -39,9 +39,9 @@
             response.set_header(name, value)
 
 
-def status_application(is_ready, metrics):
+def status_application(readiness_path, is_ready, metrics):
     """Build the application of the readiness port."""
     application = falcon.asgi.App()
-    application.add_route("/readiness", Readiness(is_ready))
+    application.add_route(readiness_path, Readiness(is_ready))
     application.add_route("/metrics", MetricsPage(metrics))
     return application
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -67,12 +67,12 @@
     async def load(self):
         """Get a first copy from the store, or from another host while it is out."""
         while not self.is_loaded.is_set():
-            if not await self.load_from_store(may_lag=False):
+            if not await self.load_from_store():
                 await self.load_from_seeds()
             if not self.is_loaded.is_set():
                 await self.pause()
 
-    async def load_from_store(self, may_lag):
+    async def load_from_store(self):
         """Read all items; tell whether it worked."""
         formats = self.formats
         prefixes = (
@@ -82,7 +82,7 @@
         )
         reads = []
         for prefix in prefixes:
-            reads.append(self.store.read_prefix(prefix, may_lag))
+            reads.append(self.store.read_prefix(prefix))
         try:
             pages = await asyncio.gather(*reads)
         except StoreError as error:
@@ -156,7 +156,7 @@
             page = await self.store.watch(ALL_KEYS, after, WATCH_S)
         except HistoryLost as error:
             events.HISTORY_LOST.log(revision=after, reason=str(error))
-            if await self.load_from_store(may_lag=False):
+            if await self.load_from_store():
                 self.gossip.announce([], after)
             else:
                 await self.pause()
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -124,7 +124,7 @@
             settings.caller_port,
             clock=self.clock,
         )
-        status = status_application(self.is_ready, self.metrics)
+        status = status_application(headers.READINESS_PATH, self.is_ready, self.metrics)
         self.status_server = CallerServer(
             status, settings.address, settings.readiness_port
         )
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -149,8 +149,6 @@
         requests plus the allowance in any such window.
     stop_grace_s : float
         Time from the stop signal to the end of the process by force.
-    store_recovery_s : float
-        Time in which lost registrations return after an outage of the store.
     """
 
     host_id: HostId
@@ -168,7 +166,6 @@
     retry_allowance: float
     retry_window_s: float
     stop_grace_s: float
-    heartbeat_s: float
 
 
 @dataclass(slots=True)
--- a/oleanderroute/platform/headers.py
+++ b/oleanderroute/platform/headers.py
@@ -6,9 +6,9 @@
 ATTEMPT_ID = b"x-attempt-id"
 REMAINING_MS = b"x-deadline-remaining"
 EXPECTED_INSTANCE = b"x-expected-instance"
-SEAL = b"x-response-seal"
-INSTANCE = b"x-instance-id"
 NOT_EXECUTED = b"x-not-executed"
+# Path of the balancer's question whether a host is ready.
+READINESS_PATH = "/readiness"
 # "running,waiting,slots"
 LOAD = b"x-backend-load"
 # A target behind whose address another one has moved refuses with this status.
--- a/oleanderroute/platform/kv.py
+++ b/oleanderroute/platform/kv.py
@@ -18,7 +18,6 @@
     StoreRefused,
     StoreUnavailable,
     TargetError,
-    TransactionConflict,
 )
 from ..host.model import ItemPage, StoreItem
 
@@ -57,35 +56,14 @@
         """Close all connections."""
         self.pool.close()
 
-    async def read_key(self, key):
-        """Return a page with the item of ``key``, or without items.
-
-        Raises
-        ------
-        StoreError
-        """
-        status, document = await self.call("GET", "/kv-key", {"key": key})
-        if status == 404:
-            return ItemPage([], int_field(document, "atRev", 0))
-        expect(status, 200)
-        return ItemPage([read_item(document)], int_field(document, "atRev"))
-
-    async def read_prefix(self, prefix, may_lag=False):
+    async def read_prefix(self, prefix):
         """Return a page with all items under ``prefix``.
 
-        Parameters
-        ----------
-        prefix : str
-        may_lag : bool
-            Accept items that are seconds old, at a tenth of the price.
-
         Raises
         ------
         StoreError
         """
         query = {"prefix": prefix}
-        if may_lag:
-            query["staleOk"] = "1"
         found = ItemPage()
         for _ in range(MAX_PAGES):
             status, document = await self.call("GET", "/kv-range", query)
@@ -146,30 +124,17 @@
         if status not in {200, 204, 404}:
             expect(status, 200)
 
-    async def write(self, key, value, lease=0, expected_revision=None):
-        """Write a key and return the store's revision.
-
-        Parameters
-        ----------
-        expected_revision : int, optional
-            Write only if the key has this revision; 0 means that it is absent.
+    async def write(self, key, value, lease=0):
+        """Write a key under a lease and return the store's revision.
 
         Raises
         ------
-        TransactionConflict, LeaseUnknown, StoreError
+        LeaseUnknown, StoreError
         """
-        conditions = []
-        if expected_revision is not None:
-            conditions.append({"key": key, "revision": expected_revision})
         encoded = base64.b64encode(value).decode("ascii")
-        body = {
-            "expect": conditions,
-            "puts": [{"key": key, "value": encoded, "lease": lease}],
-            "remove": [],
-        }
+        put = {"key": key, "value": encoded, "lease": lease}
+        body = {"expect": [], "puts": [put], "remove": []}
         status, document = await self.call("POST", "/kv-txn", body=body)
-        if status == 412:
-            raise TransactionConflict(key)
         if status == 404:
             raise LeaseUnknown(str(lease))
         expect(status, 200)
--- a/oleanderroute/platform/node_file.py
+++ b/oleanderroute/platform/node_file.py
@@ -8,6 +8,7 @@
 from ..ids import FailureDomain, HostId, Region
 
 PATH_VARIABLE = "OLEANDERROUTE_NODE_FILE"
+MIN_LEASE_FIELD = "platform.ttlMinMs"
 
 
 def settings_path():
@@ -63,13 +64,12 @@
         gossip_port=int(number(first_port, "internalPortRange")),
         seeds=seed_addresses(fields.get("seeds", "")),
         store_address=text_field(fields, "platform.address"),
-        min_lease_s=number(fields.get("platform.ttlMinMs", "1000"), "ttlMinMs") / 1000,
+        min_lease_s=number(fields.get(MIN_LEASE_FIELD, "1000"), MIN_LEASE_FIELD) / 1000,
         # Defaults are those of the platform's pages.
         retry_ratio=bounds.get("budgetRatio", 0.2),
         retry_allowance=bounds.get("retrySlack", 0.0),
         retry_window_s=bounds.get("budgetWindowS", 10.0),
         stop_grace_s=bounds.get("graceS", 6.0),
-        heartbeat_s=number(fields.get("heartbeatMs", "1500"), "heartbeatMs") / 1000,
     )
 
 
