--- a/features/run.py
+++ b/features/run.py
@@ -74,7 +74,7 @@
         if scenario.status in SKIPPED_STATES:
             skipped += 1
             continue
-        if scenario.name in known_red:
+        if scenario.name.strip() in known_red:
             expected_red += 1
             print(f"known red: {scenario.name}")
             continue
