--- a/oleanderroute/decisions/hubs.py
+++ b/oleanderroute/decisions/hubs.py
@@ -25,6 +25,9 @@
         self.key = f"hub/{failure_domain}"
         self.own_id = own_id
         self.avoided_until = {}
+        # A message to the hub is sent for most findings, so the ranking is kept.
+        self.ranked_ids = frozenset()
+        self.ranked = []
         self.hub = None
         self.relied_on_at = 0.0
 
@@ -46,7 +49,11 @@
         is_other = self.hub is not None and self.hub != self.own_id
         if is_other and now - self.relied_on_at > HUB_SILENT_S:
             self.avoided_until[self.hub] = now + AVOID_S
-        hub = self.first_usable(rank(self.key, host_ids), now)
+        candidates = frozenset(host_ids)
+        if candidates != self.ranked_ids:
+            self.ranked_ids = candidates
+            self.ranked = rank(self.key, candidates)
+        hub = self.first_usable(self.ranked, now)
         if hub != self.hub:
             self.hub = hub
             self.relied_on_at = now
--- a/oleanderroute/declaration/model.py
+++ b/oleanderroute/declaration/model.py
@@ -29,6 +29,11 @@
     port: int
     failure_domain: FailureDomain
 
+    @property
+    def incarnation(self):
+        """What tells this run of the target from others under the same id."""
+        return (self.address, self.port)
+
 
 @dataclass(frozen=True, slots=True)
 class Objective:
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -55,13 +55,6 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-def same_endpoint(one, other):
-    """Tell whether two entries of a target name one run of it at one address."""
-    if (one.address, one.port) != (other.address, other.port):
-        return False
-    return getattr(one, "started_ms", 0) == getattr(other, "started_ms", 0)
-
-
 class TargetConnections:
     """The connections to one target.
 
@@ -244,7 +237,7 @@
         connections = self.targets.get(target.target_id)
         if connections is not None:
             known = connections.target
-            if known is target or same_endpoint(known, target):
+            if known is target or known.incarnation == target.incarnation:
                 return connections
             self.close_target(target.target_id)
         limit = self.limits.get(target.target_id, DEFAULT_CONNECTION_LIMIT)
--- a/oleanderroute/host/application.py
+++ b/oleanderroute/host/application.py
@@ -1,6 +1,5 @@
 """ASGI applications of a host: callers, readiness and metrics."""
 
-import falcon
 import falcon.asgi
 
 from ..entry.app import CallerApplication
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -35,13 +35,18 @@
     elapsed_s: float = 0.0
     status: int = 0
 
+    @property
+    def result_name(self):
+        """The result as logs and metrics name it."""
+        return self.result.value if self.result else "open"
+
     def describe(self):
         """Return the fields for the log."""
         return {
             "target": self.target_id,
             "gray": round(self.gray, 3),
             "cut": round(self.cut, 3),
-            "result": self.result.value if self.result else "open",
+            "result": self.result_name,
             "status": self.status,
             "elapsed_ms": int(self.elapsed_s * 1000),
         }
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -155,19 +155,19 @@
         if now < return_by and not view.entry.is_leaving:
             self.held[target_id] = return_by
             return
-        events.TARGET_GONE.log(target=target_id, service=view.entry.service)
-        self.drop_target(target_id)
+        self.remove_target(target_id)
 
     def release_held(self, now):
         """Remove the targets that did not return in time after an outage."""
         for target_id, return_by in list(self.held.items()):
-            if now < return_by:
-                continue
-            del self.held[target_id]
-            view = self.targets.get(target_id)
-            if view is not None:
-                events.TARGET_GONE.log(target=target_id, service=view.entry.service)
-                self.drop_target(target_id)
+            if now >= return_by:
+                self.remove_target(target_id)
+
+    def remove_target(self, target_id):
+        """Log that a known target is gone, and forget it."""
+        service = self.targets[target_id].entry.service
+        events.TARGET_GONE.log(target=target_id, service=service)
+        self.drop_target(target_id)
 
     def drop_target(self, target_id):
         """Forget a target; requests in flight end by themselves."""
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -53,15 +53,18 @@
         self.formats = formats
         self.clock = clock
         self.rng = rng
-        self.settings = view.settings
         self.is_loaded = asyncio.Event()
         self.store_failing = False
         self.is_watching = False
-        self.fetching = None
         self.fetches = set()
         self.lease = None
         gossip.on_newer = self.newer_heard
 
+    @property
+    def settings(self):
+        """The ``HostSettings`` in force."""
+        return self.view.settings
+
     # Start
 
     async def load(self):
@@ -199,21 +202,17 @@
     def newer_heard(self, host_id, revision):
         """Fetch the changes that another host has and this one lacks."""
         host = self.view.hosts.get(host_id)
-        if self.fetching is not None or host is None:
+        if self.fetches or host is None:
             return
-        self.fetching = revision
         task = asyncio.ensure_future(self.fetch_newer(host, revision))
         self.fetches.add(task)
         task.add_done_callback(self.fetches.discard)
 
     async def fetch_newer(self, host, revision):
         """Fetch from ``host`` unless the news arrives by itself."""
-        try:
-            await asyncio.sleep(FETCH_DELAY_S)
-            if self.view.replica.revision < revision:
-                await self.fetch_from(host.address, host.control_port)
-        finally:
-            self.fetching = None
+        await asyncio.sleep(FETCH_DELAY_S)
+        if self.view.replica.revision < revision:
+            await self.fetch_from(host.address, host.control_port)
 
     async def fetch_from(self, address, port):
         """Fetch what another host knows more; tell whether it answered."""
@@ -264,7 +263,7 @@
         """Write the announcement under a new lease."""
         key, value = self.formats.write_host(self.settings)
         ttl_s = max(LEASE_S, self.settings.min_lease_s)
-        lease, _ = await self.store.create_lease(ttl_s)
+        lease = await self.store.create_lease(ttl_s)
         await self.store.write(key, value, lease)
         self.lease = lease
 
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -41,6 +41,11 @@
         self.observations = []
         self.crashes = []
 
+    def add(self, observations, crashes):
+        """Queue findings."""
+        self.observations += observations
+        self.crashes += crashes
+
     def is_empty(self):
         """Tell whether nothing waits."""
         return not self.observations and not self.crashes
@@ -81,7 +86,6 @@
         self.view = view
         self.crashes = crashes
         self.clock = clock
-        self.settings = view.settings
         self.transport = None
         self.is_hub = False
         self.own = Outbox()
@@ -100,6 +104,11 @@
         self.watcher = None
         self.on_newer = None
 
+    @property
+    def settings(self):
+        """The ``HostSettings`` in force."""
+        return self.view.settings
+
     async def start(self):
         """Open the socket."""
         loop = asyncio.get_running_loop()
@@ -149,7 +158,7 @@
         now = self.clock.now()
         lost = {own.host_id: self.store_lost}
         for host_id in self.hosts_of(own.failure_domain):
-            if now - self.heard_at.get(host_id, now - HEARD_S) < HEARD_S:
+            if self.is_heard(host_id, now):
                 lost[host_id] = self.lost.get(host_id, False)
         self.watcher = appoint_watcher(own.failure_domain, own.host_id, lost)
 
@@ -202,11 +211,15 @@
         now = self.clock.now()
         count = 1
         for host_id in self.view.hosts:
-            heard_at = self.heard_at.get(host_id)
-            if host_id != self.settings.host_id and heard_at is not None:
-                count += now - heard_at < HEARD_S
+            if host_id != self.settings.host_id and self.is_heard(host_id, now):
+                count += 1
         return count
 
+    def is_heard(self, host_id, now):
+        """Tell whether another host was heard lately."""
+        heard_at = self.heard_at.get(host_id)
+        return heard_at is not None and now - heard_at < HEARD_S
+
     # Sending
 
     def report(
@@ -239,8 +252,7 @@
             self.flush_soon(self.flush_own, 0.0 if is_urgent else BATCH_S)
             return
         for outbox in (self.inward, self.outward):
-            outbox.observations += self.own.observations
-            outbox.crashes += self.own.crashes
+            outbox.add(self.own.observations, self.own.crashes)
         self.own = Outbox()
         self.pass_on_soon(is_urgent)
 
@@ -344,7 +356,7 @@
         self.heard_list_at = now
         heard = []
         for host_id in self.hosts_of(self.settings.failure_domain):
-            if now - self.heard_at.get(host_id, now - HEARD_S) < HEARD_S:
+            if self.is_heard(host_id, now):
                 heard.append(host_id)
         message.heard = heard
 
@@ -406,8 +418,7 @@
         for observation in message.observations or ():
             is_urgent = is_urgent or observation.kind in URGENT
         for outbox in outboxes:
-            outbox.observations += message.observations or ()
-            outbox.crashes += message.crashes or ()
+            outbox.add(message.observations or (), message.crashes or ())
         self.pass_on_soon(is_urgent)
 
     def take_observation(self, observation, now):
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -56,8 +56,7 @@
         )
         self.request_seconds.observe({"service": service}, elapsed_s)
         for record in exchange.sends:
-            result = record.result.value if record.result else "open"
-            self.sends.inc({"service": service, "result": result})
+            self.sends.inc({"service": service, "result": record.result_name})
 
     def request_refused(self, reason):
         """Count a request that has no route."""
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -17,9 +17,10 @@
 from ..entry.caller_protocol import CallerLimits
 from ..entry.server import CallerServer
 from ..entry.target_pool import TargetPool
-from ..errors import SettingsError, format_failure
+from ..errors import SettingsError
 from ..platform import documents, headers, node_file
 from ..platform.kv import KvClient
+from ..tasks.base import supervise_work
 from .application import HostApplication, status_application
 from .copies import CopyServer
 from .crashes import CrashLedger
@@ -61,7 +62,6 @@
     def __init__(self, settings_path, settings, sink):
         self.sink = sink
         self.settings_path = settings_path
-        self.settings = settings
         self.settings_stamp = file_stamp(settings_path)
         self.clock = SystemClock()
         self.rng = random.Random(secrets.randbits(64))
@@ -89,6 +89,11 @@
         self.copies = CopyServer(self.view)
         self.build_request_path()
 
+    @property
+    def settings(self):
+        """The ``HostSettings`` in force."""
+        return self.view.settings
+
     def build_request_path(self):
         """Make what takes requests from callers to targets."""
         settings = self.settings
@@ -172,7 +177,9 @@
             self.gossip.run,
             self.keep_house,
         ):
-            task = asyncio.ensure_future(supervise(work))
+            task = asyncio.ensure_future(
+                supervise_work(work, work.__qualname__, RESTART_DELAY_S)
+            )
             stack.callback(task.cancel)
         events.DAEMON_STARTED.log(
             host=self.settings.host_id, caller_port=self.settings.caller_port
@@ -217,10 +224,7 @@
                 path="listen", reason="an address can't change while the host runs"
             )
             return
-        self.settings = settings
         self.view.settings = settings
-        self.gossip.settings = settings
-        self.follower.settings = settings
         self.view.allowances.clear()
         events.SETTINGS_RELOADED.log(host=settings.host_id)
 
@@ -240,17 +244,6 @@
         withdrawing.cancel()
 
 
-async def supervise(work):
-    """Run ``work`` and start it again after a failure."""
-    while True:
-        try:
-            await work()
-            return
-        except Exception as error:
-            events.TASK_FAILED.log(task=work.__qualname__, error=format_failure(error))
-        await asyncio.sleep(RESTART_DELAY_S)
-
-
 def file_stamp(path):
     """Return what changes when a file is written, or None if it is gone."""
     try:
--- a/oleanderroute/host/sender.py
+++ b/oleanderroute/host/sender.py
@@ -62,11 +62,8 @@
                 unsent += 1
                 if unsent < MAX_UNSENT and not self.is_late(exchange):
                     continue
-                return refuse(HostReason.TARGETS_UNREACHABLE, exchange.may_have_run)
-            if outcome.result is SendResult.NOT_RUN:
-                if self.may_repeat(exchange):
-                    continue
-                return refuse(HostReason.TARGETS_REFUSED, exchange.may_have_run)
+            elif outcome.result is SendResult.NOT_RUN and self.may_repeat(exchange):
+                continue
             return self.final(outcome, exchange)
 
     # Requests that may run again
@@ -109,10 +106,6 @@
                 task.cancel()
         if last is None:
             return self.give_up(exchange, unsent)
-        if last.result is SendResult.NOT_SENT:
-            return refuse(HostReason.TARGETS_UNREACHABLE, exchange.may_have_run)
-        if last.result is SendResult.NOT_RUN:
-            return refuse(HostReason.TARGETS_REFUSED, exchange.may_have_run)
         return self.final(last, exchange)
 
     def start(self, exchange, target):
@@ -217,6 +210,10 @@
             if outcome.answer.status in PROMISING_STATUSES:
                 return refuse(HostReason.TARGET_UNPROVEN, True)
             return outcome.answer
+        if outcome.result is SendResult.NOT_SENT:
+            return refuse(HostReason.TARGETS_UNREACHABLE, exchange.may_have_run)
+        if outcome.result is SendResult.NOT_RUN:
+            return refuse(HostReason.TARGETS_REFUSED, exchange.may_have_run)
         if outcome.result is SendResult.TIMEOUT:
             return refuse(HostReason.TARGET_TIMEOUT, True)
         return refuse(HostReason.TARGET_BROKE, True)
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
 from ..errors import MessageRejected
@@ -124,12 +125,10 @@
 
 
 def _decode(message, body):
+    decode_message(message, body)
     try:
-        message.read(PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(body)))
-        message.validate()
         message.header.validate()
-    except Exception as error:
-        # The accelerated codec raises plain Python errors on malformed bytes.
+    except TProtocolException as error:
         raise MessageRejected(f"malformed message: {error!r}") from error
     return message
 
--- a/oleanderroute/platform/kv.py
+++ b/oleanderroute/platform/kv.py
@@ -26,7 +26,7 @@
 # A long poll is given this much more than it asked the store to wait.
 POLL_MARGIN_S = 0.5
 CONNECT_TIMEOUT_S = 0.6
-# Three pages of 500 items are ample for a fleet; more is a fault of the store.
+# 9,000 targets and hosts need 18 pages of 500; far more is a fault of the store.
 MAX_PAGES = 200
 
 
@@ -98,11 +98,11 @@
         return ItemPage(items, int_field(document, "atRev"))
 
     async def create_lease(self, ttl_s):
-        """Create a lease and return its id and the seconds that it lasts."""
+        """Create a lease and return its id."""
         body = {"ttlMs": int(ttl_s * 1000)}
         status, document = await self.call("POST", "/kv-lease", body=body)
         expect(status, 200)
-        return int_field(document, "lease"), int_field(document, "ttlMs") / 1000
+        return int_field(document, "lease")
 
     async def renew_lease(self, lease):
         """Renew a lease.
@@ -121,10 +121,9 @@
     async def end_lease(self, lease):
         """End a lease, which removes its keys."""
         status, _ = await self.call("DELETE", f"/kv-lease-end/{lease}")
-        if status not in {200, 204, 404}:
-            expect(status, 200)
+        expect(status, 200, 204, 404)
 
-    async def write(self, key, value, lease=0):
+    async def write(self, key, value, lease):
         """Write a key under a lease and return the store's revision.
 
         Raises
@@ -188,15 +187,15 @@
     return document
 
 
-def expect(status, expected):
+def expect(status, *expected):
     """Refuse a status that the protocol does not describe."""
-    if status != expected:
+    if status not in expected:
         raise StoreUnavailable(f"unexpected status {status}")
 
 
-def int_field(document, name, default=None):
+def int_field(document, name):
     """Return an integer field of an answer."""
-    value = document.get(name, default)
+    value = document.get(name)
     if isinstance(value, bool) or not isinstance(value, int):
         raise StoreUnavailable(f"field {name!r} is not an integer")
     return value
--- a/oleanderroute/tasks/base.py
+++ b/oleanderroute/tasks/base.py
@@ -26,11 +26,24 @@
     ----------
     task : DaemonTask
     """
+    await supervise_work(task.run, type(task).__name__, RESTART_DELAY_S)
+
+
+async def supervise_work(work, name, restart_delay_s):
+    """Run ``work`` and start it again after a failure.
+
+    Parameters
+    ----------
+    work : callable
+        Coroutine function without parameters.
+    name : str
+        For the log.
+    restart_delay_s : float
+    """
     while True:
         try:
-            await task.run()
+            await work()
             return
         except Exception as error:
-            name = type(task).__name__
             events.TASK_FAILED.log(task=name, error=format_failure(error))
-        await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.sleep(restart_delay_s)
