--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -140,6 +140,14 @@
   3: required list<string> target_ids
 }
 
+// A target that answered that it drains.
+struct DrainNotice {
+  1: required string service_name
+  2: required string target_id
+  // Whether the sender passes on what another host saw.
+  3: required bool is_announcement
+}
+
 struct StatusRequest {
   1: required string kind
 }
@@ -174,6 +182,7 @@
   8: CrashNotice crash_notice
   9: StatusRequest status_request
   10: HostListRequest host_list_request
+  11: DrainNotice drain_notice
 }
 
 union ReplyBody {
--- a/oleanderroute/assembly.py
+++ b/oleanderroute/assembly.py
@@ -32,9 +32,11 @@
 from .tasks.configuration import ConfigurationTask
 from .tasks.crashreports import CrashReporter
 from .tasks.distribution import Distribution, seed_addresses
+from .tasks.drainreports import DrainReporter
 from .tasks.hosts import HostListTask
 from .tasks.listconfirmation import ConfirmingHostListClient
 from .tasks.messenger import Messenger
+from .tasks.notices import NoticeCourier
 from .tasks.recovery import RecoveryTask
 from .tasks.reporter import Reporter
 from .tasks.slotleases import SlotClient, SlotCoordinator
@@ -149,15 +151,18 @@
         )
         self.reporter = Reporter(self.topology, self.messenger, self.clock)
         self.quarantine = Quarantine(self.clock)
+        courier = NoticeCourier(self.topology, self.messenger)
         self.crashes = CrashReporter(
-            self.quarantine, self.topology, self.messenger, self.clock
+            self.quarantine, self.topology, courier, self.clock
         )
+        self.drains = DrainReporter(self.topology, courier, self.clock)
         self.slot_client = SlotClient(self.topology, self.messenger)
         runner = AttemptRunner(
             self.target_pool,
             self.slot_client,
             self.reporter,
             self.crashes,
+            self.drains,
             identity,
             self.clock,
             self.metrics,
@@ -177,6 +182,7 @@
         self.aggregator = Aggregator(self.serving, self.clock, self.metrics)
         self.serving.aggregator = self.aggregator
         self.crashes.excuse = self.aggregator.excuse
+        self.drains.mark_draining = self.serving.mark_draining
         self.recovery = RecoveryTask(
             self.serving, self.aggregator, self.clock, self.rng
         )
@@ -239,6 +245,7 @@
         self.host_list.register(server)
         self.claim_holder.register(server)
         self.crashes.register(server)
+        self.drains.register(server)
         self.slot_coordinator.register(server)
         server.register("outcome_report", self.aggregator.receive_report)
         server.register("status_request", self.answer_status)
--- a/oleanderroute/entry/attempts.py
+++ b/oleanderroute/entry/attempts.py
@@ -81,16 +81,20 @@
     slots : SlotClient
     reporter : Reporter
     crashes : CrashReporter
+    drains : DrainReporter
     identity : PeerIdentity
     clock : Clock
     metrics : Metrics
     """
 
-    def __init__(self, pool, slots, reporter, crashes, identity, clock, metrics):
+    def __init__(
+        self, pool, slots, reporter, crashes, drains, identity, clock, metrics
+    ):
         self.pool = pool
         self.slots = slots
         self.reporter = reporter
         self.crashes = crashes
+        self.drains = drains
         self.clock = clock
         self.metrics = metrics
         self.identity_headers = [
@@ -193,7 +197,7 @@
             record.finish(AttemptKind.CANCELLED)
             raise
         if answer.draining:
-            context.entry.router.mark_draining(target.target_id, self.clock.now())
+            self.drains.report(context.route.service, target.target_id)
         kind = kind_of_answer(answer)
         if kind is AttemptKind.REFUSED_NOT_STARTED:
             context.may_have_run = had_run
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -2197,6 +2197,104 @@
         return not (self == other)
 
 
+class DrainNotice(object):
+    """
+    Attributes:
+     - service_name
+     - target_id
+     - is_announcement
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'target_id',
+        'is_announcement',
+    )
+
+
+    def __init__(self, service_name=None, target_id=None, is_announcement=None,):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.is_announcement = is_announcement
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_announcement = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DrainNotice')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 2)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.is_announcement is not None:
+            oprot.writeFieldBegin('is_announcement', TType.BOOL, 3)
+            oprot.writeBool(self.is_announcement)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.target_id is None:
+            raise TProtocolException(message='Required field target_id is unset!')
+        if self.is_announcement is None:
+            raise TProtocolException(message='Required field is_announcement is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StatusRequest(object):
     """
     Attributes:
@@ -2564,6 +2662,7 @@
      - crash_notice
      - status_request
      - host_list_request
+     - drain_notice
 
     """
 
@@ -2578,10 +2677,11 @@
         'crash_notice',
         'status_request',
         'host_list_request',
+        'drain_notice',
     )
 
 
-    def __init__(self, outcome_report=None, claim_request=None, claim_update=None, claim_handover=None, manifest_request=None, chunk_request=None, slot_request=None, crash_notice=None, status_request=None, host_list_request=None,):
+    def __init__(self, outcome_report=None, claim_request=None, claim_update=None, claim_handover=None, manifest_request=None, chunk_request=None, slot_request=None, crash_notice=None, status_request=None, host_list_request=None, drain_notice=None,):
         self.outcome_report = outcome_report
         self.claim_request = claim_request
         self.claim_update = claim_update
@@ -2592,6 +2692,7 @@
         self.crash_notice = crash_notice
         self.status_request = status_request
         self.host_list_request = host_list_request
+        self.drain_notice = drain_notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2662,6 +2763,12 @@
                     self.host_list_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.drain_notice = DrainNotice()
+                    self.drain_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2712,6 +2819,10 @@
             oprot.writeFieldBegin('host_list_request', TType.STRUCT, 10)
             self.host_list_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.drain_notice is not None:
+            oprot.writeFieldBegin('drain_notice', TType.STRUCT, 11)
+            self.drain_notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3935,6 +4046,13 @@
     (2, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'target_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
+all_structs.append(DrainNotice)
+DrainNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target_id', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'is_announcement', None, None, ),  # 3
+)
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
     None,  # 0
@@ -3973,6 +4091,7 @@
     (8, TType.STRUCT, 'crash_notice', [CrashNotice, None], None, ),  # 8
     (9, TType.STRUCT, 'status_request', [StatusRequest, None], None, ),  # 9
     (10, TType.STRUCT, 'host_list_request', [HostListRequest, None], None, ),  # 10
+    (11, TType.STRUCT, 'drain_notice', [DrainNotice, None], None, ),  # 11
 )
 all_structs.append(ReplyBody)
 ReplyBody.thrift_spec = (
--- a/oleanderroute/serving.py
+++ b/oleanderroute/serving.py
@@ -254,6 +254,14 @@
         target_ids = [target.target_id for target in self.targets.get(name, ())]
         pool.set_targets(target_ids, self.leaving & set(target_ids))
 
+    def mark_draining(self, name, target_id):
+        """Give a target that answered that it drains no new work."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return
+        entry.router.mark_draining(target_id, self.clock.now())
+        self.aggregator.mark_draining(name, target_id)
+
     def expire_queues(self):
         """Refuse the waiting requests that can't finish in time any more."""
         for gate in list(self.busy_gates):
--- a/oleanderroute/tasks/aggregator.py
+++ b/oleanderroute/tasks/aggregator.py
@@ -197,6 +197,12 @@
         for target_id in target_ids:
             pool.pool.excuse(target_id, now)
 
+    def mark_draining(self, service_name, target_id):
+        """Count the slots of a target that drains no longer as serving."""
+        pool = self.pools.get(service_name)
+        if pool is not None:
+            pool.pool.mark_draining(target_id, self.clock.now())
+
     def follow_service(self, name):
         """Follow a change of a service or of its targets."""
         pool = self.pools.get(name)
--- a/oleanderroute/tasks/crashreports.py
+++ b/oleanderroute/tasks/crashreports.py
@@ -5,16 +5,10 @@
 message per broken request and no broadcast.
 """
 
-import asyncio
-
 from .. import events
-from ..errors import PeerError
 from ..peer.gen.oleander_messages.ttypes import Ack, CrashNotice
 
-NOTICE_TIMEOUT_S = 0.5
-NOTICE_TRIES = 3
-# Broadcasts in flight at once, so that 860 hosts are told without a burst.
-PARALLEL_NOTICES = 32
+CRASH_NOTICE = "crash_notice"
 
 
 class CrashReporter:
@@ -24,7 +18,7 @@
     ----------
     quarantine : Quarantine
     topology : Topology
-    messenger : Messenger
+    courier : NoticeCourier
     clock : Clock
 
     Attributes
@@ -34,25 +28,25 @@
         must not count towards ejection. The daemon sets it.
     """
 
-    def __init__(self, quarantine, topology, messenger, clock):
+    def __init__(self, quarantine, topology, courier, clock):
         self.excuse = lambda service_name, target_ids: None
         self.quarantine = quarantine
         self.topology = topology
-        self.messenger = messenger
+        self.courier = courier
         self.clock = clock
-        self.pending = set()
         self.announced = {}
 
     def register(self, server):
         """Take over the crash notices of a peer server."""
-        server.register("crash_notice", self.receive)
+        server.register(CRASH_NOTICE, self.receive)
 
     def report(self, service_name, fingerprint, target_id):
         """Count a crash here and tell the host that counts for the fleet."""
         now = self.clock.now()
         self.quarantine.record_crash(fingerprint, target_id, now)
         notice = CrashNotice(service_name, fingerprint, [target_id])
-        self.start(self.send(self.topology.crash_counter_of(fingerprint), notice))
+        counter = self.topology.crash_counter_of(fingerprint)
+        self.courier.deliver(counter, CRASH_NOTICE, notice)
 
     def is_refused(self, fingerprint):
         """Tell whether requests with a fingerprint must not run any more."""
@@ -89,37 +83,10 @@
         confirmed = CrashNotice(
             notice.service_name, notice.fingerprint, sorted(record.deaths)
         )
-        self.start(self.broadcast(confirmed))
+        self.courier.broadcast(CRASH_NOTICE, confirmed)
 
     def forget_announced(self, now):
         """Drop announcements whose refusal has ended."""
         for fingerprint, until in list(self.announced.items()):
             if until <= now:
                 del self.announced[fingerprint]
-
-    async def broadcast(self, notice):
-        """Send a confirmed notice to every other host."""
-        limiter = asyncio.Semaphore(PARALLEL_NOTICES)
-        async with asyncio.TaskGroup() as group:
-            for host in self.topology.peers():
-                group.create_task(self.send_limited(host, notice, limiter))
-
-    async def send_limited(self, host, notice, limiter):
-        """Send one notice of a broadcast."""
-        async with limiter:
-            await self.send(host, notice)
-
-    async def send(self, host, notice):
-        """Send a notice until it is acknowledged or the tries are used up."""
-        for _ in range(NOTICE_TRIES):
-            try:
-                await self.messenger.ask(host, "crash_notice", notice, NOTICE_TIMEOUT_S)
-                return
-            except PeerError:
-                continue
-
-    def start(self, coroutine):
-        """Run a delivery in the background."""
-        task = asyncio.ensure_future(coroutine)
-        self.pending.add(task)
-        task.add_done_callback(self.pending.discard)
--- a/oleanderroute/topology.py
+++ b/oleanderroute/topology.py
@@ -83,6 +83,10 @@
         """Return the host that counts the crashes of one request fingerprint."""
         return self.first_answering(f"crash/{fingerprint}", is_kept=False)
 
+    def drain_announcer_of(self, target_id):
+        """Return the host that tells the fleet that a target drains."""
+        return self.first_answering(f"drain/{target_id}", is_kept=False)
+
     def first_answering(self, key, region=None, is_kept=True):
         """Return the first live host in the ranking of ``key`` that answers.
 
