--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -55,6 +55,13 @@
       | target        | {"info": {}, "status": {"state": "off"}}                     | servers/t.status.state |
       | target        | {"info": {"slots": 0}, "status": {"state": "ready"}, "address": "1.1.1.1:1"} | servers/t.info.slots |
       | target        | {"info": {"slots": 2}, "status": {"state": "ready"}, "address": "1.1.1.1"} | servers/t |
+      | configuration | {"version": "01", "resources": [{"resourceType": "routes", "metadata": {"name": "r"}, "spec": {"kind": "safe", "host": "h", "prefix": "/a/", "service": "s", "timeoutMs": 100, "maxAttempts": "two"}}]} | $.resources[0].maxAttempts |
+      | configuration | {"version": "01", "resources": [{"resourceType": "routes", "metadata": {"name": "r"}, "spec": {"kind": "safe", "host": "h", "prefix": "/a/", "service": "s", "timeoutMs": 100, "maxAttempts": 0}}]} | $.resources[0].maxAttempts |
+      | configuration | {"version": "01", "resources": [{"resourceType": "routes", "metadata": {"name": "r"}, "spec": {"kind": "safe", "host": "h", "prefix": "/a/", "service": "s", "timeoutMs": 100, "maxAttempts": true}}]} | $.resources[0].maxAttempts |
+      | configuration | {"version": "01", "resources": [{"resourceType": "routes", "metadata": {"name": "r"}, "spec": {"kind": "safe", "host": "h", "prefix": "/a/", "service": "s", "timeoutMs": 100, "targetLatencyMs": "soon"}}]} | $.resources[0].targetLatencyMs |
+      | configuration | {"version": "01", "resources": [{"resourceType": "routes", "metadata": {"name": "r"}, "spec": {"kind": "safe", "host": "h", "prefix": "/a/", "service": "s", "timeoutMs": 100, "targetLatencyMs": 0}}]} | $.resources[0].targetLatencyMs |
+      | configuration | {"version": "01", "resources": [{"resourceType": "services", "metadata": {"name": "s"}, "spec": {"maxConnections": "many"}}]} | $.resources[0].maxConnections |
+      | target        | {"info": {"slots": 2, "service": "s", "zone": "z"}, "status": {"state": "ready", "coldRemainingMs": "long"}, "address": "1.1.1.1:1"} | servers/t.status.coldRemainingMs |
       | host          | {"address": "1.1.1.1"}                                       | oleanderroute/hosts/h.control_port |
 
   Scenario Outline: host decisions: Unusable settings are typed errors
@@ -97,3 +104,7 @@
   # Guards against a findings datagram that is lost between outbox and hub.
   Scenario: host decisions: Findings reach every host through hubs
     Then host decisions: a finding of each of 6 hosts in 3 failure domains is known to all
+
+  # Guards against a later version's findings that vanish without a trace or flood the log.
+  Scenario: host decisions: A finding of an unknown kind is logged once
+    Then host decisions: 50 findings of the unknown kind 99 leave one log line
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -7,10 +7,12 @@
 from types import SimpleNamespace
 
 from behave import then
+from eliot import add_destinations, remove_destination
 from hypothesis import HealthCheck, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from oleanderroute import events
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
 from oleanderroute.decisions.health import Finding, TargetHealth
@@ -29,6 +31,8 @@
     TargetEntry,
 )
 from oleanderroute.host.routes import PrefixRoutes
+from oleanderroute.peer.codec import encode_message
+from oleanderroute.peer.gen.oleander_messages.ttypes import Gossip, Observation
 from oleanderroute.platform import documents, node_file
 
 QUICKLY = settings(
@@ -296,7 +300,7 @@
         for text in dict.fromkeys(prefixes):
             listed.append(
                 HostRoute(
-                    text, "h", text, Repeatability.ONCE, 1.0, 1.0, 0, (), max_targets=1
+                    text, "h", text, Repeatability.ONCE, 1.0, 1.0, (), max_targets=1
                 )
             )
         path = start + tail
@@ -511,3 +515,23 @@
     hub_id, before, after = asyncio.run(lose())
     assert before == {hub_id}, (hub_id, before)
     assert len(after) == 1 and hub_id not in after, (hub_id, after)
+
+
+@then(
+    "host decisions: {count:d} findings of the unknown kind {kind:d} leave one log line"
+)
+def step_unknown_finding(context, count, kind):
+    fleet = FleetInMemory(2, 1)
+    records = []
+    keep = records.append
+    add_destinations(keep)
+    try:
+        for number in range(count):
+            finding = Observation("t", kind, 0, send_number=number)
+            message = Gossip("h1", "d0", False, 0, observations=[finding])
+            fleet.deliver(encode_message(message), ("h0", 1))
+    finally:
+        remove_destination(keep)
+    lines = [one for one in records if one["event"] == events.FINDING_UNKNOWN.number]
+    assert len(lines) == 1 and lines[0]["kind"] == kind, lines
+    assert not fleet.known["h0"]
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -433,6 +433,14 @@
     ("source", "reason"),
     "Find out which process sends to the gossip port.",
 )
+FINDING_UNKNOWN = define(
+    621,
+    "finding_unknown",
+    "A host sent a kind of finding that this version does not know; it is left out.",
+    Level.WARNING,
+    ("sender", "kind"),
+    "End the upgrade of the fleet, so that all hosts run one version.",
+)
 CONFIGURATION_IN_FORCE = define(
     630,
     "configuration_in_force",
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -102,6 +102,8 @@
         # Which hosts have told that the store fails their calls.
         self.lost = {}
         self.watcher = None
+        # A field of 16 bits, so their number is bounded.
+        self.unknown_kinds = set()
         self.on_newer = None
 
     @property
@@ -427,6 +429,7 @@
         try:
             finding = Finding(observation.kind)
         except ValueError:
+            self.note_unknown(observation)
             return
         if observation.host_id == own_id:
             return
@@ -443,6 +446,13 @@
             observation.target_id, finding, sent_at, sender, latency_s, load
         )
 
+    def note_unknown(self, observation):
+        """Log the first finding of a kind that only later versions know."""
+        if observation.kind in self.unknown_kinds:
+            return
+        self.unknown_kinds.add(observation.kind)
+        events.FINDING_UNKNOWN.log(sender=observation.host_id, kind=observation.kind)
+
     def take_changes(self, message):
         """Apply changes of the store, or have missing ones fetched."""
         replica = self.view.replica
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -35,8 +35,6 @@
         Longest time that a caller is kept waiting.
     objective_s : float
         Time within which an answer is worth most.
-    rank : int
-        0 is the most urgent.
     max_targets : int
         Targets to which one request may be sent.
     """
@@ -47,7 +45,6 @@
     repeatability: Repeatability
     timeout_s: float
     objective_s: float
-    rank: int
     destinations: tuple[Destination, ...]
     max_targets: int
 
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -58,6 +58,13 @@
     return value
 
 
+def optional_positive(document, name, default, path):
+    """Return a number above zero, or ``default`` for a field that is not there."""
+    if document.get(name) is None:
+        return default
+    return positive(document, name, path)
+
+
 def read_configuration(value):
     """Decode the operators' configuration.
 
@@ -89,7 +96,7 @@
         if kind == "routes":
             routes.append(read_route(name, spec, path))
         else:
-            services[ServiceName(name)] = read_service(name, spec)
+            services[ServiceName(name)] = read_service(name, spec, path)
     if bounds is None:
         raise DocumentError("$.resources", "no limits")
     return Configuration(number, tuple(routes), services, bounds)
@@ -105,12 +112,10 @@
     )
 
 
-def read_service(name, spec):
+def read_service(name, spec, path):
     """Decode a service."""
-    limit = spec.get("maxConnections")
-    if isinstance(limit, bool) or not isinstance(limit, int) or limit <= 0:
-        limit = DEFAULT_CONNECTION_LIMIT
-    return ServicePolicy(ServiceName(name), limit)
+    limit = optional_positive(spec, "maxConnections", DEFAULT_CONNECTION_LIMIT, path)
+    return ServicePolicy(ServiceName(name), int(limit))
 
 
 def read_route(name, spec, path):
@@ -119,9 +124,7 @@
     if kind not in REPEATABILITY:
         raise DocumentError(f"{path}.kind", f"unknown kind {kind!r}")
     timeout_s = positive(spec, "timeoutMs", path) / 1000
-    objective_ms = spec.get("targetLatencyMs")
-    if isinstance(objective_ms, bool) or not isinstance(objective_ms, (int, float)):
-        objective_ms = timeout_s * 1000
+    objective_ms = optional_positive(spec, "targetLatencyMs", timeout_s * 1000, path)
     return HostRoute(
         route_id=RouteId(name),
         authority=take(spec, "host", str, path).lower(),
@@ -129,10 +132,9 @@
         repeatability=REPEATABILITY[kind],
         timeout_s=timeout_s,
         objective_s=objective_ms / 1000,
-        # The wire calls the rank "priority"; 0 is the most urgent.
-        rank=int(spec.get("priority") or 0),
         destinations=read_destinations(spec, path),
-        max_targets=max(1, int(spec.get("maxAttempts") or 1)),
+        # The wire's "attempts" are the targets that one request may be sent to.
+        max_targets=int(optional_positive(spec, "maxAttempts", 1, path)),
     )
 
 
