--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -108,3 +108,20 @@
   # Guards against a later version's findings that vanish without a trace or flood the log.
   Scenario: host decisions: A finding of an unknown kind is logged once
     Then host decisions: 50 findings of the unknown kind 99 leave one log line
+
+  # Guards against an overload in which every answer is late because a queue stands.
+  Scenario: host decisions: A standing queue is not let grow
+    Then host decisions: at 1.2 times the capacity for 6 s at least 0.3 more of the requests are answered in time than by the naive queue
+    And host decisions: the naive queue answers no more than its length and 0.01 of all requests on top
+
+  # Guards against refusals that a short burst does not need.
+  Scenario: host decisions: A burst that drains by itself is served whole
+    Then host decisions: at 2 times the capacity for 0.2 s no request is refused
+
+  # Guards against a queue that is taken for standing after news of long ago.
+  Scenario: host decisions: Two long waits that lie far apart are no standing queue
+    Then host decisions: waits of 1 s at the seconds 0, 5 and 10 refuse nothing
+
+  # Guards against waits that are counted twice, once in the latency and once as a queue.
+  Scenario: host decisions: The time of service holds no time in queues
+    Then host decisions: 500 latencies of 0.5 s behind a queue leave the time of service at 0.1 s
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -20,6 +20,7 @@
 from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.replica import StoreReplica
 from oleanderroute.decisions.selection import Demand, Selector, TargetView
+from oleanderroute.decisions.standing_queue import StandingQueue
 from oleanderroute.errors import DocumentError, SettingsError
 from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.logsink import LogSink
@@ -535,3 +536,96 @@
     lines = [one for one in records if one["event"] == events.FINDING_UNKNOWN.number]
     assert len(lines) == 1 and lines[0]["kind"] == kind, lines
     assert not fleet.known["h0"]
+
+
+# Queues that stand
+
+SLOTS = 50
+SERVICE_S = 0.1
+OBJECTIVE_S = 0.4
+QUEUE_LIMIT = 200
+
+
+def play_queue(load, duration_s, queue):
+    """Return the shares in time, answered and refused by the host, at a load.
+
+    One queue before all slots, first come first served; a full one refuses.
+    """
+    rng = random.Random(5)
+    free_at = [0.0] * SLOTS
+    waiting_starts = []
+    counts = {"all": 0, "in time": 0, "answered": 0, "refused": 0}
+    now = 0.0
+    while now < duration_s:
+        now += rng.expovariate(load * SLOTS / SERVICE_S)
+        counts["all"] += 1
+        waiting_starts = [start for start in waiting_starts if start > now]
+        wait_s = len(waiting_starts) * SERVICE_S / SLOTS
+        if queue is not None and queue.refuses(wait_s, OBJECTIVE_S, now):
+            counts["refused"] += 1
+            continue
+        if len(waiting_starts) >= QUEUE_LIMIT:
+            continue
+        slot = free_at.index(min(free_at))
+        start = max(now, free_at[slot])
+        free_at[slot] = start + rng.uniform(0.5, 1.5) * SERVICE_S
+        if start > now:
+            waiting_starts.append(start)
+        counts["answered"] += 1
+        if free_at[slot] - now <= OBJECTIVE_S:
+            counts["in time"] += 1
+    total = counts.pop("all")
+    return total, {name: count / total for name, count in counts.items()}
+
+
+@then(
+    "host decisions: at {load:g} times the capacity for {duration_s:g} s at least "
+    "{more:g} more of the requests are answered in time than by the naive queue"
+)
+def step_standing(context, load, duration_s, more):
+    context.requests, context.naive = play_queue(load, duration_s, None)
+    _, context.shares = play_queue(load, duration_s, StandingQueue())
+    gain = context.shares["in time"] - context.naive["in time"]
+    assert gain >= more, (context.naive, context.shares)
+
+
+@then(
+    "host decisions: the naive queue answers no more than its length and {more:g} of "
+    "all requests on top"
+)
+def step_answered(context, more):
+    # A queue that is full at the end of the overload is served after it.
+    queued = QUEUE_LIMIT / context.requests
+    lost = context.naive["answered"] - context.shares["answered"]
+    assert lost <= queued + more, (queued, context.naive, context.shares)
+
+
+@then(
+    "host decisions: at {load:g} times the capacity for {duration_s:g} s no request "
+    "is refused"
+)
+def step_burst(context, load, duration_s):
+    _, shares = play_queue(load, duration_s, StandingQueue())
+    assert shares["refused"] == 0.0, shares
+
+
+@then("host decisions: waits of 1 s at the seconds 0, 5 and 10 refuse nothing")
+def step_far_apart(context):
+    queue = StandingQueue()
+    for now in (0.0, 5.0, 10.0):
+        assert not queue.refuses(1.0, OBJECTIVE_S, now)
+
+
+@then(
+    "host decisions: {count:d} latencies of {queued_s:g} s behind a queue leave the "
+    "time of service at {service_s:g} s"
+)
+def step_service(context, count, queued_s, service_s):
+    sample = LatencySample()
+    for _ in range(200):
+        sample.add_service(service_s)
+        sample.add(service_s)
+    for _ in range(count):
+        sample.add(queued_s)
+    assert abs(sample.service_s - service_s) < 0.01, sample.service_s
+    assert sample.quantile(0.5) == queued_s
--- a/oleanderroute/decisions/latency.py
+++ b/oleanderroute/decisions/latency.py
@@ -12,6 +12,8 @@
 # Without samples, a typical answer takes this share of the objective.
 TYPICAL_SHARE_OF_OBJECTIVE = 0.3
 DEFAULT_OBJECTIVE_S = 0.5
+# Share of a new sample in the mean time of service; it follows within some seconds.
+SERVICE_SAMPLE_SHARE = 0.05
 
 
 class LatencySample:
@@ -22,6 +24,7 @@
         self.ordered = []
         self.unsorted = 0
         self.objective_s = DEFAULT_OBJECTIVE_S
+        self.mean_service_s = None
 
     def add(self, latency_s):
         """Take one latency in seconds."""
@@ -31,6 +34,24 @@
             self.ordered = sorted(self.recent)
             self.unsorted = 0
 
+    def add_service(self, latency_s):
+        """Take the latency of a request that did not wait at its target."""
+        if self.mean_service_s is None:
+            self.mean_service_s = self.service_s
+        change = latency_s - self.mean_service_s
+        self.mean_service_s += SERVICE_SAMPLE_SHARE * change
+
+    @property
+    def service_s(self):
+        """Mean seconds that a request takes at a target with a free slot.
+
+        Latencies also hold the time in queues, which would be counted twice by an
+        estimate of the queue.
+        """
+        if self.mean_service_s is not None:
+            return self.mean_service_s
+        return self.objective_s * TYPICAL_SHARE_OF_OBJECTIVE
+
     @property
     def is_known(self):
         """Whether there are enough samples to speak of a distribution."""
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -20,6 +20,8 @@
 COLD_LOSS = 0.15
 # An idempotent request may explore a target that is gray with this probability.
 EXPLORE_BELOW = 0.70
+# A target that fails less than this share of its requests counts as room.
+SOUND_BELOW = 0.5
 # A send whose end was not heard by then has ended or is lost.
 FORGET_SEND_S = 1.0
 # Longest time in seconds for which the want of news about a target counts.
@@ -82,6 +84,21 @@
                 sends += 1
         return max(reported, float(sends))
 
+    def has_free_slot(self, now, drain_s):
+        """Tell whether one more request would not wait at the target."""
+        return self.in_system(now, drain_s) < self.entry.slots
+
+    def wait_s(self, now, service_s):
+        """Return the seconds that one more request is expected to wait.
+
+        Parameters
+        ----------
+        service_s : float
+            Mean seconds that a request takes once it has a slot.
+        """
+        excess = self.in_system(now, service_s) + 1.0 - self.entry.slots
+        return max(0.0, excess) * service_s / self.entry.slots
+
     def silence_s(self, now):
         """Return for how long nothing was heard from or sent to the target."""
         heard_at = self.health.heard_at
@@ -125,9 +142,7 @@
         """Return the share of a request's worth that a target is expected to lose."""
         objective_s = demand.objective_s
         fails = view.health.failure_chance(now)
-        median_s = latencies.quantile(0.5)
-        excess = view.in_system(now, median_s) + 1.0 - view.entry.slots
-        wait_s = max(0.0, excess) * median_s / view.entry.slots
+        wait_s = view.wait_s(now, latencies.service_s)
         late = latencies.share_above(objective_s - wait_s) if wait_s else 0.0
         loss = fails + (1.0 - fails) * LATE_LOSS * late
         # A queue also delays when the objective is far away.
@@ -140,6 +155,17 @@
             loss += CONNECT_LOSS
         return loss
 
+    def least_wait_s(self, views, latencies, now):
+        """Return the least expected wait among the sound targets; 0 without any."""
+        least_s = None
+        for view in views:
+            if view.health.failure_chance(now) >= SOUND_BELOW:
+                continue
+            wait_s = view.wait_s(now, latencies.service_s)
+            if least_s is None or wait_s < least_s:
+                least_s = wait_s
+        return least_s or 0.0
+
     def best(self, views, latencies, demand, now):
         """Return the view with about the least expected loss, or None."""
         best = None
@@ -156,13 +182,13 @@
 
         Only idempotent requests may be spent on this.
         """
-        drain_s = latencies.quantile(0.5)
+        drain_s = latencies.service_s
         weights = []
         candidates = []
         for view in views:
             if view.health.failure_chance(now) > EXPLORE_BELOW:
                 continue
-            if view.in_system(now, drain_s) >= view.entry.slots + 1:
+            if not view.has_free_slot(now, drain_s):
                 continue
             silence_s = view.silence_s(now)
             candidates.append(view)
--- a/oleanderroute/host/delivery.py
+++ b/oleanderroute/host/delivery.py
@@ -72,8 +72,14 @@
         now = self.clock.now()
         exchange.tried.add(entry.target_id)
         health = target.health
+        latencies = self.view.latencies_of(exchange.service)
         record = SendRecord(
-            next(self.numbers), entry.target_id, now, health.gray, health.cut
+            next(self.numbers),
+            entry.target_id,
+            now,
+            health.gray,
+            health.cut,
+            not target.has_free_slot(now, latencies.service_s),
         )
         is_repeat = exchange.arrivals > 0
         exchange.sends.append(record)
@@ -83,7 +89,7 @@
         self.reporter.publish(target, start, record)
         overdue = OverdueReports(
             self.reporter,
-            self.view.latencies_of(exchange.service),
+            latencies,
             self.clock,
             target,
             record,
@@ -101,6 +107,8 @@
         record.result = outcome.result
         if outcome.answer is not None:
             record.status = outcome.answer.status
+        if outcome.is_good and not record.is_queued:
+            latencies.add_service(record.elapsed_s)
         self.reporter.learn(target, outcome, record, overdue.stage)
         return outcome
 
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -24,13 +24,20 @@
 
 @dataclass(slots=True)
 class SendRecord:
-    """One send, as the log tells it."""
+    """One send, as the log tells it.
+
+    Attributes
+    ----------
+    is_queued : bool
+        Whether the target had no free slot when the request was sent.
+    """
 
     number: int
     target_id: TargetId
     started_at: float
     gray: float
     cut: float
+    is_queued: bool
     result: SendResult | None = None
     elapsed_s: float = 0.0
     status: int = 0
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -6,6 +6,7 @@
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
 from ..decisions.selection import TargetView
+from ..decisions.standing_queue import StandingQueue
 from ..errors import DocumentError
 from .routes import PrefixRoutes
 
@@ -47,6 +48,7 @@
         # When each other host was last heard by datagram.
         self.heard_at = {}
         self.latencies = {}
+        self.queues = {}
         self.allowances = {}
         self.started_at = clock.now()
         self.recovered_at = float("-inf")
@@ -253,6 +255,13 @@
             sample = self.latencies[service] = LatencySample()
         return sample
 
+    def queue_of(self, service):
+        """Return what tells whether requests queue for long at a service."""
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = self.queues[service] = StandingQueue()
+        return queue
+
     def allowance_of(self, service):
         """Return the bound on repeated sends to a service."""
         allowance = self.allowances.get(service)
--- a/oleanderroute/host/refusal.py
+++ b/oleanderroute/host/refusal.py
@@ -18,6 +18,7 @@
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
     NO_TARGET = "no-target"
+    NO_ROOM = "no-room"
     TARGETS_REFUSED = "targets-refused"
     TARGETS_UNREACHABLE = "targets-unreachable"
     CRASH_QUARANTINE = "crash-quarantine"
@@ -36,6 +37,7 @@
     HostReason.BODY_TOO_LARGE: 413,
     HostReason.BODY_INCOMPLETE: 400,
     HostReason.NO_TARGET: 503,
+    HostReason.NO_ROOM: 503,
     HostReason.TARGETS_REFUSED: 503,
     HostReason.TARGETS_UNREACHABLE: 503,
     HostReason.CRASH_QUARANTINE: 503,
@@ -47,7 +49,7 @@
 REASON_HEADER = b"oleander-reason"
 
 
-def refuse(reason, may_have_run=False):
+def refuse(reason, may_have_run=False, retry_after_s=RETRY_AFTER_S):
     """Return the answer for a request that no target answered.
 
     Parameters
@@ -55,6 +57,8 @@
     reason : HostReason
     may_have_run : bool
         Turns a promise that the request did not run into 502.
+    retry_after_s : float
+        Seconds after which a caller whose request did not run may come back.
     """
     status = STATUS_OF[reason]
     if status == 503 and may_have_run:
@@ -62,6 +66,6 @@
     headers = [(REASON_HEADER, reason.value.encode("ascii"))]
     outcome = CallerOutcome.UNKNOWN
     if status == 503:
-        headers.append((b"retry-after", b"%.1f" % RETRY_AFTER_S))
+        headers.append((b"retry-after", b"%.1f" % max(0.1, retry_after_s)))
         outcome = CallerOutcome.NOT_RUN
     return CallerAnswer(status, headers, b"", outcome, reason.value)
--- a/oleanderroute/host/sender.py
+++ b/oleanderroute/host/sender.py
@@ -41,9 +41,13 @@
 
     async def run(self, exchange):
         """Return the ``CallerAnswer`` or ``TargetAnswer`` of a request."""
-        self.view.latencies_of(
-            exchange.service
-        ).objective_s = exchange.route.objective_s
+        latencies = self.view.latencies_of(exchange.service)
+        latencies.objective_s = exchange.route.objective_s
+        now = self.clock.now()
+        wait_s = self.selector.least_wait_s(self.candidates(exchange), latencies, now)
+        queue = self.view.queue_of(exchange.service)
+        if queue.refuses(wait_s, exchange.route.objective_s, now):
+            return refuse(HostReason.NO_ROOM, retry_after_s=wait_s)
         if exchange.route.is_idempotent:
             return await self.run_idempotent(exchange)
         return await self.run_once(exchange)
@@ -129,10 +133,16 @@
         return max(MIN_HEDGE_S, min(bound_s, latencies.quantile(OVERDUE_SHARE)))
 
     def hedge(self, exchange, pending):
-        """Start a second send if there is a target and the allowance permits."""
+        """Start a second send if a target has room and the allowance permits.
+
+        A second send that waits in a queue delays first sends of other requests.
+        """
         target = self.choose_best(exchange)
         if target is None or not self.may_repeat(exchange, is_hedge=True):
             return
+        drain_s = self.view.latencies_of(exchange.service).service_s
+        if not target.has_free_slot(self.clock.now(), drain_s):
+            return
         pending.add(self.start(exchange, target))
 
     def better(self, last, outcome):
