--- a/features/host.feature
+++ b/features/host.feature
@@ -103,3 +103,36 @@
     When host: another host starts and is asked for connections from its first moment
     Then host: its callers' port accepts at least 0.1 s before its readiness port
     And host: the caller that waited is served
+
+  # Guards against work that goes on at a target after its caller has left (GONE).
+  Scenario Outline: host: A caller that leaves cancels its request
+    Given host: 1 host, targets t1 and t2
+    When host: a caller of "<method>" "<path>" leaves while its request hangs
+    Then host: each target that runs it sees the connection closed within 0.5 s
+
+    Examples:
+      | method | path     |
+      | GET    | /look/1  |
+      | POST   | /order/1 |
+
+  # Guards against requests that run at a target behind a reused address (ROUTE).
+  Scenario: host: An address that another target has taken runs nothing for the old one
+    Given host: 1 host, targets t1 and t2
+    When host: the store names the address of t2 for a target t8 as well
+    Then host: 12 lookups and 12 orders are served, each run once or refused by proof
+
+  # Guards against a request that ends one target after the other (BUDGET).
+  Scenario: host: A request that ends its targets is refused on all hosts
+    Given host: 2 hosts, targets t1 and t2
+    And host: 4 more targets
+    When host: an order that ends its targets is sent 8 times by turns
+    Then host: at most 3 targets have ended and the last order is refused as not run
+    And host: other orders are served
+
+  # Guards against a 404 by a host that may have missed a configuration (DENIED).
+  Scenario: host: A host without news of the store denies no route
+    Given host: 1 host, targets t1 and t2
+    When host: the store stays "silent" for 3.2 s
+    Then host: a path without a route gets 503 for the reason "route-uncertain"
+    When host: the store answers again
+    Then host: a path without a route gets 404 within 4 s
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 
 from behave import given, then, when
 
@@ -326,3 +327,119 @@
             received += data
     # 503 tells a caller to come back when the first copy took longer than a start.
     assert parse_answer(received)[0] in (200, 503), received[:200]
+
+
+@when('host: a caller of "{method}" "{path}" leaves while its request hangs')
+def step_leave_early(context, method, path):
+    fleet = context.fleet
+    for target_id in ("t1", "t2"):
+        fleet.set_mode(target_id, "hang")
+    process = fleet.hosts["h1"]
+    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: gone\r\n"
+    head += "X-Deadline-Remaining: 1400\r\nContent-Length: 0\r\n\r\n"
+    with socket.create_connection((process.address, process.caller_port)) as caller:
+        caller.sendall(head.encode())
+        fleet.until(fleet.runs, "the request runs")
+    context.left_at = time.time()
+
+
+@then("host: each target that runs it sees the connection closed within {limit_s:g} s")
+def step_cancelled(context, limit_s):
+    fleet = context.fleet
+    ran = len(fleet.runs())
+    fleet.until(lambda: len(fleet.cancelled()) >= ran, "all runs are cancelled", 5.0)
+    for attempt_id, closed_at in fleet.cancelled():
+        assert attempt_id == "gone"
+        assert closed_at - context.left_at <= limit_s, closed_at - context.left_at
+    assert len(fleet.runs()) == ran, fleet.runs()
+
+
+@when("host: the store names the address of t2 for a target t8 as well")
+def step_reused_address(context):
+    fleet = context.fleet
+    fleet.put(
+        "servers/t8",
+        {
+            "address": f"127.0.0.1:{fleet.targets['t2'].port}",
+            "info": {"service": "pedidos", "zone": "mvd-a", "slots": 2},
+            "status": {"state": "ready", "seqNo": 1, "coldRemainingMs": 0},
+        },
+    )
+    fleet.until(lambda: len(fleet.log("h1", 640)) == 3, "h1 knows t8")
+
+
+@then(
+    "host: {lookups:d} lookups and {orders:d} orders are served, each run once or "
+    "refused by proof"
+)
+def step_served_once(context, lookups, orders):
+    for _ in range(lookups):
+        assert send(context, "h1", "/look/1")[0] == 200
+    for _ in range(orders):
+        assert send(context, "h1", "/order/1", "POST", body=b"x")[0] == 200
+    runs = Counter(run[0] for run in context.fleet.runs())
+    assert len(runs) == lookups + orders and set(runs.values()) == {1}, runs
+    for meant, ran_by in context.fleet.addressees():
+        assert meant == ran_by, (meant, ran_by)
+
+
+@given("host: {count:d} more targets")
+def step_more_targets(context, count):
+    fleet = context.fleet
+    for number in range(count):
+        fleet.start_target(f"t{3 + number}")
+    for name in fleet.hosts:
+        fleet.until(
+            lambda name=name: len(fleet.log(name, 640)) == 2 + count, f"{name} knows"
+        )
+
+
+@when("host: an order that ends its targets is sent {count:d} times by turns")
+def step_crashing(context, count):
+    for number in range(count):
+        host = "h1" if number % 2 == 0 else "h2"
+        context.answer = send(context, host, "/order/~crash", "POST", body=b"x")
+        # A caller that comes again waits longer than a crash takes to be confirmed.
+        time.sleep(0.3)
+
+
+@then(
+    "host: at most {most:d} targets have ended and the last order is refused as not run"
+)
+def step_crash_refused(context, most):
+    targets = context.fleet.targets
+    ended = [name for name, process in targets.items() if not process.is_running()]
+    assert 1 <= len(ended) <= most, ended
+    status, headers, _ = context.answer
+    assert status == 503, context.answer
+    assert headers["oleander-reason"] == "crash-quarantine", headers
+
+
+@then("host: other orders are served")
+def step_other_orders(context):
+    for host in ("h1", "h2"):
+        assert send(context, host, "/order/2", "POST", body=b"x")[0] == 200, host
+
+
+@when('host: the store stays "{fault}" for {wait_s:g} s')
+def step_store_stays(context, fault, wait_s):
+    context.fleet.store_fault(mode=fault)
+    time.sleep(wait_s)
+
+
+@then('host: a path without a route gets 503 for the reason "{reason}"')
+def step_uncertain(context, reason):
+    status, headers, _ = send(context, "h1", "/none/1")
+    assert status == 503 and headers["oleander-reason"] == reason, (status, headers)
+
+
+@when("host: the store answers again")
+def step_store_answers(context):
+    context.fleet.store_fault(mode="ok")
+
+
+@then("host: a path without a route gets 404 within {limit_s:g} s")
+def step_denied(context, limit_s):
+    context.fleet.until(
+        lambda: send(context, "h1", "/none/1")[0] == 404, "404 for no route", limit_s
+    )
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -110,6 +110,21 @@
                 found.append((row[0], target_id))
         return found
 
+    def addressees(self):
+        """Return the target that each run was meant for, and the one that ran it."""
+        found = []
+        for target_id, process in self.targets.items():
+            for row in call(process.port, "GET", "/control/runs").json():
+                found.append((row[4], target_id))
+        return found
+
+    def cancelled(self):
+        """Return attempt id and time of the runs whose connection was closed."""
+        found = []
+        for process in self.targets.values():
+            found += call(process.port, "GET", "/control/cancelled").json()
+        return found
+
     def start_host(self, name, number, zone="mvd-a", wait=True, gossip_port=None):
         """Start a host on the loopback address with a number."""
         # The gossip port is the same on all hosts, as on the platform.
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,12 +2,13 @@
 
 Run it as ``python -m standins.platform_target --store ADDRESS --id ID --service NAME``.
 A request whose path ends in ``/~MODE`` is treated in that mode: ``hang``, ``shed``,
-``reset``, ``error``, ``unframed``, ``early``, ``stray`` or ``unproven``.
+``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven`` or ``crash``.
 """
 
 import asyncio
 import base64
 import json
+import os
 import socket
 import struct
 import time
@@ -19,6 +20,7 @@
 
 SEAL = "standin"
 HANG_S = 30.0
+CRASHED = 70
 SLOTS = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -34,6 +36,8 @@
     def __init__(self, target_id):
         self.target_id = target_id
         self.runs = []
+        # Attempt id and Unix time of the runs whose connection was closed meanwhile.
+        self.cancelled = []
         self.connections = 0
         self.mode = ""
 
@@ -58,6 +62,9 @@
         if path == "/control/runs":
             self.write(writer, 200, headers, json.dumps(self.runs).encode())
             return True
+        if path == "/control/cancelled":
+            self.write(writer, 200, headers, json.dumps(self.cancelled).encode())
+            return True
         mode = path.rpartition("~")[2] if "~" in path else self.mode
         if mode == "early":
             self.write(writer, 500, headers, b"early")
@@ -70,15 +77,19 @@
         if mode == "shed":
             self.write(writer, 503, headers, b"", not_executed=True)
             return True
-        self.runs.append([headers.get("x-attempt-id", ""), method, path, len(body)])
+        attempt_id = headers.get("x-attempt-id", "")
+        self.runs.append([attempt_id, method, path, len(body), expected])
+        if mode == "crash":
+            os._exit(CRASHED)
+        if mode == "hang" and await is_closed_within(reader, HANG_S):
+            self.cancelled.append([headers.get("x-attempt-id", ""), time.time()])
+            return False
         return await self.finish(writer, headers, mode)
 
     async def finish(self, writer, headers, mode):
         """Answer a request that has run."""
         content = f"{self.target_id} ran it".encode()
-        if mode == "hang":
-            await asyncio.sleep(HANG_S)
-        elif mode == "reset":
+        if mode == "reset":
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
@@ -123,6 +134,15 @@
     return method, path, headers
 
 
+async def is_closed_within(reader, limit_s):
+    """Tell whether the other side closes its connection before ``limit_s`` pass."""
+    try:
+        async with asyncio.timeout(limit_s):
+            return await reader.read(1) == b""
+    except TimeoutError:
+        return False
+
+
 async def read_body(reader, headers):
     """Return the body of a request."""
     if headers.get("transfer-encoding") != "chunked":
