--- a/features/host.feature
+++ b/features/host.feature
@@ -136,3 +136,11 @@
     Then host: a path without a route gets 503 for the reason "route-uncertain"
     When host: the store answers again
     Then host: a path without a route gets 404 within 4 s
+
+  # Guards against a false "not run" and a missing cause when a queue stands.
+  Scenario: host: Requests are refused while a queue stands, and served after it
+    Given host: 1 host, targets t1 and t2
+    When host: 12 callers send lookups to slow targets for 4 s
+    Then host: some are refused for the reason "no-room", and none of those has run
+    And host: the host has logged that a queue stands
+    And host: a lookup alone is served
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -443,3 +443,59 @@
     context.fleet.until(
         lambda: send(context, "h1", "/none/1")[0] == 404, "404 for no route", limit_s
     )
+
+
+@when("host: {count:d} callers send lookups to slow targets for {duration_s:g} s")
+def step_slow_load(context, count, duration_s):
+    fleet = context.fleet
+    for target_id in ("t1", "t2"):
+        fleet.set_mode(target_id, "slow")
+    context.answers = {}
+    ends_at = time.monotonic() + duration_s
+
+    def keep_asking(caller):
+        number = 0
+        while time.monotonic() < ends_at:
+            number += 1
+            attempt_id = f"c{caller}n{number}"
+            answer = fleet.send("h1", "GET", "/look/1", attempt_id)
+            context.answers[attempt_id] = answer
+            if answer[0] == 503:
+                time.sleep(float(answer[1]["retry-after"]))
+
+    callers = []
+    for caller in range(count):
+        callers.append(threading.Thread(target=keep_asking, args=(caller,)))
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+
+
+@then('host: some are refused for the reason "{reason}", and none of those has run')
+def step_no_room(context, reason):
+    refused = set()
+    for attempt_id, (status, headers, _) in context.answers.items():
+        if status == 503:
+            assert headers["oleander-reason"] == reason, headers
+            refused.add(attempt_id)
+    assert refused, Counter(answer[0] for answer in context.answers.values())
+    ran = {run[0] for run in context.fleet.runs()}
+    assert not refused & ran, refused & ran
+
+
+@then("host: the host has logged that a queue stands")
+def step_queue_logged(context):
+    turns = context.fleet.log("h1", 647)
+    assert turns and turns[0]["standing"] is True, turns
+    refusals = [
+        line for line in context.fleet.log("h1", 660) if line["reason"] == "no-room"
+    ]
+    # The route's objective is 400 ms.
+    assert refusals and min(line["wait_ms"] for line in refusals) >= 120, refusals
+
+
+@then("host: a lookup alone is served")
+def step_alone(context):
+    time.sleep(1.0)
+    assert send(context, "h1", "/look/1")[0] == 200
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -516,6 +516,14 @@
     ("fingerprint", "target", "request"),
     "Ask the caller's owner to stop the request.",
 )
+QUEUE_TURNED = define(
+    647,
+    "queue_turned",
+    "Requests began, or ceased, to queue for long at all sound targets of a service.",
+    Level.WARNING,
+    ("service", "standing", "wait_s"),
+    "Add targets to the service if it lasts, or find out what sends the load.",
+)
 REQUEST_FINISHED = define(
     660,
     "request_finished",
@@ -529,6 +537,7 @@
         "status",
         "reason",
         "elapsed_ms",
+        "wait_ms",
         "limit_ms",
         "sends",
         "left_out",
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -78,6 +78,8 @@
         Whether a target may have started it.
     body_consumed : bool
         Whether a streamed body has been handed to a target.
+    wait_s : float
+        Expected wait at the least busy sound target, on arrival.
     """
 
     request: CallerRequest
@@ -94,6 +96,7 @@
     arrivals: int = 0
     may_have_run: bool = False
     body_consumed: bool = False
+    wait_s: float = 0.0
 
     def may_send_again(self):
         """Tell whether the route and the body allow another send."""
--- a/oleanderroute/host/requestlog.py
+++ b/oleanderroute/host/requestlog.py
@@ -79,6 +79,7 @@
             status=answer.status,
             reason=answer.reason,
             elapsed_ms=int(elapsed_s * 1000),
+            wait_ms=int(1000 * exchange.wait_s),
             limit_ms=int(1000 * (exchange.deadline_at - exchange.request.received_at)),
             sends=sends,
             left_out=budget.take_left_out(),
--- a/oleanderroute/host/sender.py
+++ b/oleanderroute/host/sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from .. import events
 from ..decisions.health import OVERDUE_SHARE
 from ..decisions.selection import Demand
 from .delivery import PROMISING_STATUSES
@@ -43,15 +44,29 @@
         """Return the ``CallerAnswer`` or ``TargetAnswer`` of a request."""
         latencies = self.view.latencies_of(exchange.service)
         latencies.objective_s = exchange.route.objective_s
-        now = self.clock.now()
-        wait_s = self.selector.least_wait_s(self.candidates(exchange), latencies, now)
-        queue = self.view.queue_of(exchange.service)
-        if queue.refuses(wait_s, exchange.route.objective_s, now):
-            return refuse(HostReason.NO_ROOM, retry_after_s=wait_s)
+        if self.must_refuse(exchange, latencies):
+            return refuse(HostReason.NO_ROOM, retry_after_s=exchange.wait_s)
         if exchange.route.is_idempotent:
             return await self.run_idempotent(exchange)
         return await self.run_once(exchange)
 
+    def must_refuse(self, exchange, latencies):
+        """Tell whether a request would only lengthen a queue that stands."""
+        now = self.clock.now()
+        exchange.wait_s = self.selector.least_wait_s(
+            self.candidates(exchange), latencies, now
+        )
+        queue = self.view.queue_of(exchange.service)
+        was_standing = queue.is_standing
+        refuses = queue.refuses(exchange.wait_s, exchange.route.objective_s, now)
+        if queue.is_standing != was_standing:
+            events.QUEUE_TURNED.log(
+                service=exchange.service,
+                standing=queue.is_standing,
+                wait_s=round(exchange.wait_s, 3),
+            )
+        return refuses
+
     # Requests that may run once
 
     async def run_once(self, exchange):
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,7 +2,8 @@
 
 Run it as ``python -m standins.platform_target --store ADDRESS --id ID --service NAME``.
 A request whose path ends in ``/~MODE`` is treated in that mode: ``hang``, ``shed``,
-``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven`` or ``crash``.
+``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven``, ``slow``
+or ``crash``.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 
 SEAL = "standin"
 HANG_S = 30.0
+SLOW_S = 0.3
 CRASHED = 70
 SLOTS = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -81,6 +83,8 @@
         self.runs.append([attempt_id, method, path, len(body), expected])
         if mode == "crash":
             os._exit(CRASHED)
+        if mode == "slow":
+            await asyncio.sleep(SLOW_S)
         if mode == "hang" and await is_closed_within(reader, HANG_S):
             self.cancelled.append([headers.get("x-attempt-id", ""), time.time()])
             return False
