--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -125,3 +125,7 @@
   # Guards against waits that are counted twice, once in the latency and once as a queue.
   Scenario: host decisions: The time of service holds no time in queues
     Then host decisions: 500 latencies of 0.5 s behind a queue leave the time of service at 0.1 s
+
+  # Guards against hosts that can't start from others when the configuration is large.
+  Scenario: host decisions: A copy with the largest value goes from one host to another
+    Then host decisions: a copy of a value of 1048576 bytes and 3000 others arrives whole
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from features.support.processes import PORTS
 from oleanderroute import events
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
@@ -22,6 +23,7 @@
 from oleanderroute.decisions.selection import Demand, Selector, TargetView
 from oleanderroute.decisions.standing_queue import StandingQueue
 from oleanderroute.errors import DocumentError, SettingsError
+from oleanderroute.host.copies import CopyServer, fetch_copy
 from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.logsink import LogSink
 from oleanderroute.host.model import (
@@ -629,3 +631,28 @@
         sample.add(queued_s)
     assert abs(sample.service_s - service_s) < 0.01, sample.service_s
     assert sample.quantile(0.5) == queued_s
+
+
+@then(
+    "host decisions: a copy of a value of {size:d} bytes and {count:d} others arrives "
+    "whole"
+)
+def step_large_copy(context, size, count):
+    replica = StoreReplica()
+    replica.apply(StoreItem("op/config", 5, b"x" * size))
+    for number in range(count):
+        replica.apply(StoreItem(f"servers/i-{number}", 6 + number, b"y" * 300))
+    replica.advance(6 + count)
+
+    async def fetch():
+        place = SimpleNamespace(address="127.0.0.1", control_port=PORTS.next())
+        server = CopyServer(SimpleNamespace(settings=place, replica=replica))
+        await server.start()
+        try:
+            return await fetch_copy(place.address, place.control_port, "h2", 0)
+        finally:
+            server.close()
+
+    revision, is_complete, items = asyncio.run(fetch())
+    assert revision == 6 + count and is_complete
+    assert {item.key: item for item in items} == replica.items
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -5,31 +5,20 @@
 from .. import events
 from ..errors import MessageRejected, PeerTimeout, PeerUnreachable
 from ..peer.codec import (
-    FRAME_LENGTH,
-    MAX_FRAME_BYTES,
     decode_message,
     encode_frame,
+    read_frame,
 )
 from ..peer.gen.oleander_messages.ttypes import CopyReply, CopyRequest, ItemChange
 from .model import StoreItem
 
+# A value of the store holds 1 MiB; a copy also holds the entries of all targets, 3 MB
+# at 8,000 of them.
+MAX_COPY_BYTES = 16 * 1024 * 1024
 # A copy of some hundred items takes milliseconds.
 EXCHANGE_TIMEOUT_S = 0.8
 
 
-async def read_frame(reader):
-    """Return the body of one frame.
-
-    Raises
-    ------
-    MessageRejected
-    """
-    (length,) = FRAME_LENGTH.unpack(await reader.readexactly(FRAME_LENGTH.size))
-    if length > MAX_FRAME_BYTES:
-        raise MessageRejected(f"oversized frame: {length} bytes")
-    return await reader.readexactly(length)
-
-
 class CopyServer:
     """Answers hosts that ask for the items they lack.
 
@@ -59,7 +48,7 @@
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
                 request = decode_message(CopyRequest(), await read_frame(reader))
-                writer.write(encode_frame(self.make_reply(request)))
+                writer.write(encode_frame(self.make_reply(request), MAX_COPY_BYTES))
                 await writer.drain()
         except (OSError, EOFError, TimeoutError, MessageRejected) as error:
             events.COPY_FAILED.log(peer="caller", reason=repr(error))
@@ -98,7 +87,9 @@
             reader, writer = await asyncio.open_connection(address, port)
             try:
                 writer.write(encode_frame(CopyRequest(host_id, after_revision)))
-                reply = decode_message(CopyReply(), await read_frame(reader))
+                reply = decode_message(
+                    CopyReply(), await read_frame(reader, MAX_COPY_BYTES)
+                )
             finally:
                 writer.close()
     except TimeoutError as error:
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -64,20 +64,45 @@
     host_list_age_s: float | None = None
 
 
-def encode_frame(message):
+def encode_frame(message, limit=MAX_FRAME_BYTES):
     """Return ``message`` as one length-prefixed frame.
 
+    Parameters
+    ----------
+    limit : int
+        Bytes of the longest frame.
+
     Raises
     ------
     MessageRejected
-        If the frame would exceed ``MAX_FRAME_BYTES``.
+        If the frame would be longer.
     """
     body = encode_message(message)
-    if len(body) > MAX_FRAME_BYTES:
+    if len(body) > limit:
         raise MessageRejected(f"oversized frame: {len(body)} bytes")
     return FRAME_LENGTH.pack(len(body)) + body
 
 
+async def read_frame(reader, limit=MAX_FRAME_BYTES):
+    """Return the body of the next frame of an ``asyncio.StreamReader``.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes of the longest frame.
+
+    Raises
+    ------
+    MessageRejected
+        If the frame announces more.
+    asyncio.IncompleteReadError
+    """
+    (length,) = FRAME_LENGTH.unpack(await reader.readexactly(FRAME_LENGTH.size))
+    if length > limit:
+        raise MessageRejected(f"oversized frame: {length} bytes")
+    return await reader.readexactly(length)
+
+
 def encode_message(message):
     """Return ``message`` without a length prefix, as a datagram holds it."""
     transport = TMemoryBuffer()
--- a/oleanderroute/peer/server.py
+++ b/oleanderroute/peer/server.py
@@ -7,12 +7,11 @@
 from .. import events
 from ..errors import MessageRejected
 from .codec import (
-    FRAME_LENGTH,
-    MAX_FRAME_BYTES,
     body_kind,
     check_header,
     decode_request,
     encode_frame,
+    read_frame,
 )
 from .gen.oleander_messages.ttypes import PeerReply, ReplyBody
 
@@ -107,23 +106,21 @@
         source = str(writer.get_extra_info("peername"))
         async with asyncio.TaskGroup() as group:
             while True:
-                frame = await self.read_frame(reader, source)
+                frame = await self.next_frame(reader, source)
                 if frame is None:
                     return
                 self.answer_frame(frame, source, writer, group)
 
-    async def read_frame(self, reader, source):
+    async def next_frame(self, reader, source):
         """Return the next frame, or None at the end of the connection."""
         try:
             async with asyncio.timeout(IDLE_CLOSE_S):
-                prefix = await reader.readexactly(FRAME_LENGTH.size)
-                (length,) = FRAME_LENGTH.unpack(prefix)
-                if length > MAX_FRAME_BYTES:
-                    self.drop("oversized frame", source)
-                    return None
-                return await reader.readexactly(length)
+                return await read_frame(reader)
+        except MessageRejected as error:
+            self.drop(str(error), source)
         except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
-            return None
+            pass
+        return None
 
     def answer_frame(self, frame, source, writer, group):
         """Answer one frame, now or in a task of ``group``."""
