--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -590,6 +590,8 @@
         return states["targets"][0]["state"] == "ejected"
 
     eventually(is_ejected, message="the gray target was not ejected")
+    # A first ejection lasts 5 s, which the commands of the next steps may outlast.
+    context.metrics_lines = scrape(fleet, fleet.hosts[0])
 
 
 @then("report: oleanderctl report names pedidos-02 as the only spender")
@@ -646,18 +648,21 @@
 UNITLESS |= {"store_available"}
 
 
-@then("report: a scrape parses, with units in names and the ejected target counted")
-def step_scrape(context):
-    fleet = context.fleet
-    url = f"{fleet.operator_url(fleet.hosts[0])}/metrics"
+def scrape(fleet, host):
+    """Return the lines of a host's metrics page."""
+    url = f"{fleet.operator_url(host)}/metrics"
     accept = "application/openmetrics-text;version=1.0.0,text/plain;q=0.5,*/*;q=0.1"
     request = urllib.request.Request(url, headers={"Accept": accept})
     with urllib.request.urlopen(request, timeout=10) as response:
         assert response.headers["Content-Type"].startswith("text/plain; version=0.0.4")
-        lines = response.read().decode().splitlines()
+        return response.read().decode().splitlines()
+
+
+@then("report: a scrape parses, with units in names and the ejected target counted")
+def step_scrape(context):
     kinds = {}
     samples = {}
-    for line in lines:
+    for line in context.metrics_lines:
         if line.startswith("# TYPE "):
             _, _, name, kind = line.split(" ")
             kinds[name] = kind
