--- a/features/host.feature
+++ b/features/host.feature
@@ -97,13 +97,6 @@
     When host: a second host starts on the address of the first
     Then host: both serve requests and the second logs the taken port
 
-  # Guards against callers that are refused while a restarted host loads its program.
-  Scenario: host: A starting host lets callers wait instead of refusing them
-    Given host: 1 host, targets t1 and t2
-    When host: another host starts and is asked for connections from its first moment
-    Then host: its callers' port accepts at least 0.1 s before its readiness port
-    And host: the caller that waited is served
-
   # Guards against work that goes on at a target after its caller has left (GONE).
   Scenario Outline: host: A caller that leaves cancels its request
     Given host: 1 host, targets t1 and t2
--- a/oleanderroute/entry/server.py
+++ b/oleanderroute/entry/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import socket
 
 import uvicorn
 
@@ -9,8 +10,9 @@
 from ..clock import SystemClock
 from .caller_protocol import CallerLimits, CallerProtocol
 from .deadlines import DeadlineSweep
-from .sockets import BACKLOG, listening_socket
+from .target_pool import set_keepalive
 
+BACKLOG = 1024
 SWEEP_INTERVAL_S = 0.25
 POLL_INTERVAL_S = 0.02
 # Time for cut requests to give up what they hold.
@@ -47,16 +49,11 @@
         0 lets the system choose; ``port`` holds the number after ``start``.
     limits : CallerLimits
     clock : Clock
-    listener : socket.socket, optional
-        Listens already; otherwise ``start`` opens one.
     """
 
-    def __init__(
-        self, application, address, port, limits=None, clock=None, listener=None
-    ):
+    def __init__(self, application, address, port, limits=None, clock=None):
         self.address = address
         self.port = port
-        self.listener = listener
         self.clock = clock or SystemClock()
         self.sweep = DeadlineSweep(self.clock, SWEEP_INTERVAL_S)
         self.gate = CallerGate(limits or CallerLimits())
@@ -101,7 +98,7 @@
         OSError
             If the address is in use or not ours.
         """
-        sock = self.listener or listening_socket(self.address, self.port)
+        sock = listening_socket(self.address, self.port)
         self.port = sock.getsockname()[1]
         self.config.load()
         self.server.lifespan = self.config.lifespan_class(self.config)
@@ -164,3 +161,20 @@
             return
         for connection in list(self.connections):
             connection.close_if_idle()
+
+
+def listening_socket(address, port):
+    """Return a bound TCP socket."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit this. Without it, a caller that vanishes without a
+    # packet would hold its request until the target answers.
+    set_keepalive(sock)
+    try:
+        sock.bind((address, port))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -1,12 +1,12 @@
 """Pools of connections to targets."""
 
 import asyncio
+import socket
 
 from ..clock import SystemClock
 from ..errors import ConnectFailed, TargetError
 from .deadlines import DeadlineSweep
 from .dialect import OWN_DIALECT
-from .sockets import open_socket
 from .target_connection import TargetConnection
 
 DEFAULT_CONNECTION_LIMIT = 8
@@ -17,6 +17,10 @@
 # Error of the time limits. At 90 requests/s these rounds take 4% of the processor
 # time of a request.
 SWEEP_INTERVAL_S = 0.05
+# A peer that vanished is noticed after 10 + 3 x 3 s without traffic.
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 3
+KEEPALIVE_PROBES = 3
 
 
 class ConnectionLimitReached(TargetError):
@@ -33,6 +37,24 @@
         self.reused = False
 
 
+def open_socket(address):
+    """Return a non-blocking TCP socket for an IPv4 or IPv6 ``address``."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_keepalive(sock)
+    return sock
+
+
+def set_keepalive(sock):
+    """Let the kernel probe an idle connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 class TargetConnections:
     """The connections to one target.
 
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -441,14 +441,6 @@
     ("sender", "kind"),
     "End the upgrade of the fleet, so that all hosts run one version.",
 )
-FIRST_COPY_LATE = define(
-    622,
-    "first_copy_late",
-    "Callers are let in without a configuration; they are told to come back.",
-    Level.WARNING,
-    ("waited_s",),
-    "Look for 610: the store, or the hosts among the seeds, do not answer this host.",
-)
 CONFIGURATION_IN_FORCE = define(
     630,
     "configuration_in_force",
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -121,14 +121,6 @@
         )
         self.is_loaded.set()
 
-    async def wait_for_copy(self, limit_s):
-        """Wait for the first copy, for ``limit_s`` seconds at most."""
-        try:
-            async with asyncio.timeout(limit_s):
-                await self.is_loaded.wait()
-        except TimeoutError:
-            events.FIRST_COPY_LATE.log(waited_s=limit_s)
-
     # Following
 
     async def run(self):
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -1,41 +1,276 @@
-"""Starts the daemon of one host: first the callers' port, then all the rest.
-
-Loading the program takes several tenths of a second of a small host's processor. All
-hosts may restart at once, so callers wait on the open port instead of being refused.
-"""
+"""The daemon of one host on the platform."""
 
+import asyncio
+import contextlib
+import os
+import random
+import secrets
+import signal
 import sys
+from contextlib import AsyncExitStack
+
+from eliot import add_destinations, remove_destination
 
-from ..entry.sockets import listening_socket
+from .. import events
+from ..clock import SystemClock
+from ..decisions.selection import Selector
+from ..entry.caller_protocol import CallerLimits
+from ..entry.server import CallerServer
+from ..entry.target_pool import TargetPool
 from ..errors import SettingsError
-from ..platform import node_file
+from ..platform import documents, headers, node_file
+from ..platform.kv import KvClient
+from ..tasks.base import supervise_work
+from .application import HostApplication, status_application
+from .copies import CopyServer
+from .crashes import CrashLedger
+from .delivery import Delivery
+from .findings import FindingReporter
+from .fleetview import FleetView
+from .follower import StoreFollower
+from .gossip import GossipTask
+from .hostmetrics import HostMetrics
+from .logsink import LogSink
+from .proxy import HostProxy
+from .requestlog import RequestLog
+from .sender import Sender
 
 EXIT_SETTINGS = 2
+STANDARD_OUTPUT = 1
+METRICS_PORT = 9464
+# A target that does not accept within this time is taken for unreachable; the
+# longest way to one takes a few milliseconds.
+CONNECT_TIMEOUT_S = 0.3
+# The balancer asks for readiness each second and believes the second refusal.
+BALANCER_NOTICE_S = 2.6
+# Time kept back from the grace time for the end of the process.
+STOP_MARGIN_S = 0.4
+HOUSEKEEPING_S = 0.2
+RESTART_DELAY_S = 0.5
+
+
+class Host:
+    """All parts of one host and its life cycle.
+
+    Parameters
+    ----------
+    settings_path : pathlib.Path
+    settings : HostSettings
+    sink : LogSink
+    """
+
+    def __init__(self, settings_path, settings, sink):
+        self.sink = sink
+        self.settings_path = settings_path
+        self.settings_stamp = file_stamp(settings_path)
+        self.clock = SystemClock()
+        self.rng = random.Random(secrets.randbits(64))
+        self.is_draining = False
+        self.stop_requested = asyncio.Event()
+        self.metrics = HostMetrics()
+        self.pool = TargetPool(
+            settings.host_id,
+            settings.failure_domain,
+            self.clock,
+            CONNECT_TIMEOUT_S,
+            headers.PlatformDialect(),
+        )
+        self.view = FleetView(settings, documents, self.clock, self.pool)
+        self.view.on_configuration.append(self.configuration_changed)
+        self.crashes = CrashLedger(self.pool, self.clock)
+        self.gossip = GossipTask(self.view, self.crashes, self.clock)
+        self.crashes.on_crash = self.gossip.report_crash
+        self.store = KvClient(
+            settings.store_address, self.metrics.store_called, self.clock
+        )
+        self.follower = StoreFollower(
+            self.view, self.store, self.gossip, documents, self.clock, self.rng
+        )
+        self.copies = CopyServer(self.view)
+        self.build_request_path()
+
+    @property
+    def settings(self):
+        """The ``HostSettings`` in force."""
+        return self.view.settings
+
+    def build_request_path(self):
+        """Make what takes requests from callers to targets."""
+        settings = self.settings
+        selector = Selector(settings.failure_domain, self.rng)
+        delivery = Delivery(
+            self.view,
+            self.pool,
+            FindingReporter(self.view, self.gossip),
+            self.crashes,
+            headers,
+            self.clock,
+        )
+        sender = Sender(
+            self.view,
+            self.pool,
+            selector,
+            self.gossip,
+            self.crashes,
+            delivery,
+            self.clock,
+        )
+        self.proxy = HostProxy(
+            self.view,
+            sender,
+            headers,
+            RequestLog(self.metrics, self.clock),
+            self.clock,
+            self.rng,
+        )
+        self.caller_server = CallerServer(
+            HostApplication(self.proxy, self.clock),
+            settings.address,
+            settings.caller_port,
+            clock=self.clock,
+        )
+        status = status_application(headers.READINESS_PATH, self.is_ready, self.metrics)
+        self.status_server = CallerServer(
+            status, settings.address, settings.readiness_port
+        )
+        self.metrics_server = CallerServer(status, settings.address, METRICS_PORT)
+
+    def is_ready(self):
+        """Tell whether new connections are welcome."""
+        return self.view.configuration is not None and not self.is_draining
+
+    def configuration_changed(self, configuration):
+        """Bring the limits on callers of a configuration into force."""
+        self.metrics.version.set({}, configuration.version)
+        bounds = configuration.bounds
+        self.caller_server.set_limits(
+            CallerLimits(
+                header_bytes=bounds.header_bytes,
+                header_s=bounds.header_s,
+                idle_s=bounds.idle_s,
+            )
+        )
+
+    async def run(self):
+        """Serve until a stop is requested, then end the requests in flight."""
+        async with AsyncExitStack() as stack:
+            await self.start(stack)
+            await self.stop_requested.wait()
+            await self.drain()
+        events.DAEMON_STOPPED.log(host=self.settings.host_id)
+
+    async def start(self, stack):
+        """Open all sockets and start all tasks."""
+        stack.callback(self.store.close)
+        stack.callback(self.pool.close)
+        stack.callback(self.gossip.close)
+        stack.callback(self.copies.close)
+        await self.gossip.start()
+        await self.copies.start()
+        await self.status_server.start()
+        await self.start_metrics()
+        await self.caller_server.start()
+        self.watch_signals()
+        for work in (
+            self.follower.run,
+            self.follower.keep_registered,
+            self.gossip.run,
+            self.keep_house,
+        ):
+            task = asyncio.ensure_future(
+                supervise_work(work, work.__qualname__, RESTART_DELAY_S)
+            )
+            stack.callback(task.cancel)
+        events.DAEMON_STARTED.log(
+            host=self.settings.host_id, caller_port=self.settings.caller_port
+        )
+
+    async def start_metrics(self):
+        """Open the fixed port for scrapers; callers are served without it too."""
+        try:
+            await self.metrics_server.start()
+        except OSError as error:
+            events.METRICS_PORT_TAKEN.log(port=METRICS_PORT, reason=str(error))
+
+    def watch_signals(self):
+        """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
+
+    async def keep_house(self):
+        """Do what is due at fixed times."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = self.clock.now()
+            self.view.release_held(now)
+            self.view.forget_silent_hosts(now)
+            self.metrics.log_lines_dropped.set({}, self.sink.dropped)
+            self.follower.finish_load("host")
+            if file_stamp(self.settings_path) != self.settings_stamp:
+                self.reload_settings()
+
+    def reload_settings(self):
+        """Read the settings again; unusable ones leave the old in force."""
+        self.settings_stamp = file_stamp(self.settings_path)
+        try:
+            settings = node_file.load_host_settings(self.settings_path)
+        except SettingsError as error:
+            events.SETTINGS_REFUSED.log(path=error.path, reason=error.reason)
+            return
+        if settings.address != self.settings.address:
+            events.SETTINGS_REFUSED.log(
+                path="listen", reason="an address can't change while the host runs"
+            )
+            return
+        self.view.settings = settings
+        self.view.allowances.clear()
+        events.SETTINGS_RELOADED.log(host=settings.host_id)
+
+    async def drain(self):
+        """End without cutting a request: first the balancer, then the callers."""
+        started_at = self.clock.now()
+        self.is_draining = True
+        events.DAEMON_DRAINING.log(in_flight=self.proxy.in_flight)
+        self.caller_server.begin_draining()
+        withdrawing = asyncio.ensure_future(self.follower.withdraw())
+        await asyncio.sleep(BALANCER_NOTICE_S)
+        self.caller_server.stop_accepting()
+        passed_s = self.clock.now() - started_at
+        await self.caller_server.finish(
+            max(0.1, self.settings.stop_grace_s - STOP_MARGIN_S - passed_s)
+        )
+        withdrawing.cancel()
+
+
+def file_stamp(path):
+    """Return what changes when a file is written, or None if it is gone."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return (status.st_mtime_ns, status.st_size, status.st_ino)
 
 
 def main():
     """Run the daemon until it is stopped."""
+    sink = LogSink(STANDARD_OUTPUT)
+    add_destinations(sink)
     try:
         path = node_file.settings_path()
         settings = node_file.load_host_settings(path)
     except SettingsError as error:
-        report_unusable(error)
+        events.SETTINGS_REFUSED.log(path=error.path, reason=error.reason)
         sys.exit(EXIT_SETTINGS)
-    listener = listening_socket(settings.address, settings.caller_port)
-    # Imported after the port is open; see above.
-    from . import daemon
-
-    daemon.run(path, settings, listener)
-
-
-def report_unusable(error):
-    """Log why the settings can't be used."""
-    from eliot import to_file
+    with contextlib.ExitStack() as stack:
+        stack.callback(remove_destination, sink)
+        asyncio.run(run_host(path, settings, sink))
 
-    from .. import events
 
-    to_file(sys.stdout)
-    events.SETTINGS_REFUSED.log(path=error.path, reason=error.reason)
+async def run_host(path, settings, sink):
+    """Make and run a host inside the event loop."""
+    await Host(path, settings, sink).run()
 
 
 if __name__ == "__main__":
