--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -41,6 +41,8 @@
         # Attempt id and Unix time of the runs whose connection was closed meanwhile.
         self.cancelled = []
         self.connections = 0
+        # Only slow requests queue for a slot.
+        self.slots = asyncio.Semaphore(SLOTS)
         self.mode = ""
 
     async def serve(self, reader, writer):
@@ -84,7 +86,8 @@
         if mode == "crash":
             os._exit(CRASHED)
         if mode == "slow":
-            await asyncio.sleep(SLOW_S)
+            async with self.slots:
+                await asyncio.sleep(SLOW_S)
         if mode == "hang" and await is_closed_within(reader, HANG_S):
             self.cancelled.append([headers.get("x-attempt-id", ""), time.time()])
             return False
