Ask peers that answer first; poll on while waiting for the store

Ruled out: a lost offer (a relay's answer brings the head along), load (there was little). Change: a silent peer comes last for 10 s, three candidates are drawn in any case, and the wait for the store runs beside the polls. A scenario for each part, both failing without it.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -108,6 +108,23 @@
     When configuration A is stored as revision 1 and no configuration peer answers
     Then the configuration host reads the store only after 5 s without help
 
+  # Guards against a host that draws the same silent peers again and again: with 2.5 s
+  # for a poll whose peers are silent, four polls are 10 s of the 12 s of a change.
+  Scenario Outline: A host that hears one domain and no store learns of a change (<name>)
+    Given a configuration fleet of 3 domains with 3 hosts
+    When configuration A is stored as revision 1 and 4 poll periods pass
+    Then configuration host <name> learns of it within 4 polls if it hears d2 only
+
+    Examples:
+      | name |
+      | h0-0 |
+      | h0-1 |
+      | h0-2 |
+
+  Scenario: A host that waits to ask the store still polls its peers
+    Given a configuration fleet of 1 domain with 6 hosts
+    Then a configuration host that waits to ask the store still polls its peers
+
   Scenario: A relay reconnects at a random time within 5 s after an outage
     Given a configuration fleet of 4 domains with 4 hosts
     When the configuration store is down for two watches of every relay
--- a/features/configuration_fakes.py
+++ b/features/configuration_fakes.py
@@ -99,8 +99,11 @@
         self.network = network
 
     async def request(self, peer, kind, value, timeout_s=0.5):
+        self.network.asked.append((self.host_id, peer.host_id))
         if {self.host_id, peer.host_id} & self.network.unreachable:
             raise PeerUnreachable(peer.host_id)
+        if (self.host_id, peer.host_id) in self.network.cut:
+            raise PeerUnreachable(peer.host_id)
         caller = self.network.members[self.host_id]
         answerer = self.network.members[peer.host_id]
         answerer.on_header(caller.header())
@@ -121,7 +124,7 @@
         clock = clock or network.clock
         rng = random.Random(host.host_id)
         self.distribution = Distribution(
-            host.host_id, host.failure_domain, seed_addresses(seeds), rng
+            host.host_id, host.failure_domain, seed_addresses(seeds), rng, clock
         )
         self.task = ConfigurationTask(
             self.distribution,
@@ -225,6 +228,10 @@
     def __init__(self, domains, hosts_per_domain, store):
         self.clock = ManualClock()
         self.unreachable = set()
+        # Pairs of host ids between which nothing passes.
+        self.cut = set()
+        # Each request, as the ids of the host that asks and of the one asked.
+        self.asked = []
         self.members = {}
         hosts = []
         for domain in range(domains):
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -19,10 +19,11 @@
     RealMember,
     StoreServer,
     fake_host,
+    stopped,
 )
 from features.steps.declaration_steps import load, repeatable, small_document
 from oleanderroute.cli import main
-from oleanderroute.clock import ManualClock, SystemClock
+from oleanderroute.clock import SystemClock
 from oleanderroute.declaration.chunks import Change, split_declaration
 from oleanderroute.errors import (
     StoreConflict,
@@ -394,6 +395,55 @@
     assert len(waits) == 1 and 0 <= waits[0] <= 5
 
 
+@then(
+    "configuration host {name} learns of it within {polls:d} polls if it hears d2 only"
+)
+def step_hears_one_domain(context, name, polls):
+    network = context.network
+    fresh = network.members[name]
+    for one in context.members:
+        if one.host.failure_domain != "d2":
+            network.cut.add((name, one.host.host_id))
+    for seed in range(300):
+        # Only the list of peers is wanted here; each seed begins without news.
+        fresh.distribution.rng.seed(seed)
+        fresh.distribution.silent_until.clear()
+        answered = []
+        while len(answered) < polls and not any(answered):
+            answered.append(asyncio.run(fresh.task.poll_once()))
+        assert any(answered), (seed, network.asked[-9:])
+    asyncio.run(fresh.task.take_offers())
+    assert fresh.task.revision == 1
+
+
+@then("a configuration host that waits to ask the store still polls its peers")
+def step_polls_beside(context):
+    fresh = last_leaf(context)
+    for one in context.members:
+        context.network.cut.add((fresh.host.host_id, one.host.host_id))
+
+    async def sleep(seconds):
+        context.network.clock.advance(seconds / 2)
+        await asyncio.sleep(0)
+
+    async def wait_for_ever(timeout_s):
+        await asyncio.Event().wait()
+
+    async def follow():
+        fresh.task.sleep = sleep
+        fresh.task.wait_for_offer = wait_for_ever
+        tasks = asyncio.create_task(fresh.task.run())
+        for _ in range(100):
+            await asyncio.sleep(0)
+        asked = len(context.network.asked)
+        for _ in range(100):
+            await asyncio.sleep(0)
+        await stopped(tasks)
+        return len(context.network.asked) - asked
+
+    assert asyncio.run(follow()) > 0
+
+
 @when("the configuration store is down for two watches of every relay")
 def step_outage(context):
     context.store.down = True
--- a/oleanderroute/assembly.py
+++ b/oleanderroute/assembly.py
@@ -210,6 +210,7 @@
             settings.failure_domain,
             seed_addresses(settings.peers_seed),
             self.rng,
+            self.clock,
         )
         self.configuration = ConfigurationTask(
             self.distribution,
--- a/oleanderroute/tasks/configuration.py
+++ b/oleanderroute/tasks/configuration.py
@@ -120,6 +120,7 @@
             group.create_task(self.watch_store())
             group.create_task(self.follow_offers())
             group.create_task(self.poll_peers())
+            group.create_task(self.watch_for_help())
 
     # Newer revisions of peers
 
@@ -232,6 +233,11 @@
         while True:
             await self.sleep(POLL_PERIOD_S * self.rng.uniform(0.8, 1.0))
             await self.poll_once()
+
+    async def watch_for_help(self):
+        """Read the store when no peer helps, beside the polls of peers."""
+        while True:
+            await self.sleep(POLL_PERIOD_S)
             await self.ask_store_if_peerless()
 
     async def poll_once(self):
@@ -246,7 +252,9 @@
             try:
                 reply = await self.peers.request(peer, "manifest_request", request)
             except PeerError:
+                self.distribution.note_answer(peer.host_id, answered=False)
                 continue
+            self.distribution.note_answer(peer.host_id, answered=True)
             if reply.revision > 0:
                 self.helped_at = self.clock.now()
             if reply.head is not None and self.running.is_news(reply.revision):
--- a/oleanderroute/tasks/distribution.py
+++ b/oleanderroute/tasks/distribution.py
@@ -14,6 +14,11 @@
 
 RELAYS_PER_DOMAIN = 2
 CHILDREN_PER_HOST = 8
+# Peers asked in one poll; with 0.5 s for each that is silent, a poll ends in 1.5 s.
+MAX_CANDIDATES = 3
+# A peer that did not answer is asked again after this time. Shorter than the 12 s in
+# which a change must be in force, so that nobody is left out for a whole change.
+SILENCE_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,13 +70,16 @@
     seeds : list of PeerAddress
         Asked while no host list is known.
     rng : random.Random
+    clock : Clock
     """
 
-    def __init__(self, host_id, failure_domain, seeds, rng):
+    def __init__(self, host_id, failure_domain, seeds, rng, clock):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.seeds = list(seeds)
         self.rng = rng
+        self.clock = clock
+        self.silent_until = {}
         self.peers = {}
         self.domain_peers = []
         self.remote_relays = []
@@ -88,6 +96,9 @@
                 ids = ids_by_domain.setdefault(host.failure_domain, [])
                 ids.append(host.host_id)
         ranked = rank_domain(self.failure_domain, ids_by_domain)
+        for host_id in list(self.silent_until):
+            if host_id not in self.peers:
+                del self.silent_until[host_id]
         self.position = find_position(self.host_id, ranked)
         self.domain_peers = [one for one in ranked if one != self.host_id]
         self.remote_relays = []
@@ -110,7 +121,8 @@
 
         A relay asks any other relay of the fleet, so that relays which cannot reach
         the platform get news from those which can. Another host asks its parents.
-        When these do not answer, both ask further away.
+        When these do not answer, both ask further away; whoever was silent lately
+        comes last, so that a host which hears a part of the fleet finds that part.
 
         Returns
         -------
@@ -120,13 +132,39 @@
         parents = [one for one in self.position.parents if one != self.host_id]
         if self.is_relay:
             relays = self.domain_peers[: RELAYS_PER_DOMAIN - 1] + self.remote_relays
-            ordered = self.sample(relays, 2) + self.sample(self.domain_peers, 1)
+            groups = ((relays, 2), (self.domain_peers, 1))
         else:
-            ordered = self.sample(parents, 2) + self.sample(self.remote_relays, 1)
-            if len(ordered) < 2:
-                ordered += self.sample(self.domain_peers, 1)
+            groups = ((parents, 2), (self.remote_relays, 1), (self.domain_peers, 1))
+        ordered = []
+        for group, count in groups:
+            heard = [one for one in group if not self.is_silent(one)]
+            ordered += self.sample([one for one in heard if one not in ordered], count)
+        everybody = parents + self.remote_relays + self.domain_peers
+        everybody = [one for one in dict.fromkeys(everybody) if one not in ordered]
+        heard = [one for one in everybody if not self.is_silent(one)]
+        silent = [one for one in everybody if self.is_silent(one)]
+        for group in (heard, silent):
+            missing = MAX_CANDIDATES - len(ordered)
+            ordered += self.sample(group, max(missing, 0))
         candidates = [self.peers[one] for one in ordered if one in self.peers]
-        return candidates or self.sample(self.seeds, 3)
+        return candidates[:MAX_CANDIDATES] or self.sample(self.seeds, MAX_CANDIDATES)
+
+    def note_answer(self, host_id, answered):
+        """Note whether a peer answered."""
+        if answered:
+            self.silent_until.pop(host_id, None)
+        else:
+            self.silent_until[host_id] = self.clock.now() + SILENCE_S
+
+    def is_silent(self, host_id):
+        """Tell whether a peer gave no answer lately."""
+        until = self.silent_until.get(host_id)
+        if until is None:
+            return False
+        if self.clock.now() < until:
+            return True
+        del self.silent_until[host_id]
+        return False
 
     def sample(self, values, count):
         """Return up to ``count`` random values."""
--- a/oleanderroute/tasks/hosts.py
+++ b/oleanderroute/tasks/hosts.py
@@ -210,11 +210,14 @@
             reply = await self.peers.request(
                 peer, "host_list_request", request, timeout_s=FETCH_TIMEOUT_S
             )
+            self.distribution.note_answer(peer.host_id, answered=True)
             if reply.version <= self.version or reply.document is None:
                 self.confirm_version(reply.version, asked_at)
                 return False
             host_list = self.history.decode(reply, self.current)
         except (PeerError, MalformedHostList) as error:
+            if isinstance(error, PeerError):
+                self.distribution.note_answer(peer.host_id, answered=False)
             events.PEER_FETCH_FAILED.log(peer=peer.host_id, reason=str(error))
             return False
         self.install(host_list)
