Let the audit wait for targets that are starting again

Cause of 'store down and target killed' (KNOWN-RED, one ledger not read): the scenario restarts the killed target while the load ends, and a refused connection counted as unreachable at once; under load the start takes longer than the rest of the load. The 30 s of the audit now cover repeated tries. New scenario: the target is back 1.5 s after the load; unreachable before.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -261,6 +261,12 @@
     When a stand-in load of 40 orders a second is sent for 0.5 s
     Then the stand-in report counts every run and finds doubled orders
 
+  # Guards against an audit that misses the runs of a target that starts again late.
+  Scenario: The audit waits for a target that is started again after the load
+    Given a stand-in naive relay over 2 targets, the first with {}
+    When the stand-in first target is killed and restarted 1.5 s after a load of 0.5 s
+    Then the stand-in audit reached every ledger
+
   Scenario: The same seed plans the same load
     Then stand-in plans with seeds 7 and 7 are equal, 7 and 8 differ
 
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -411,17 +411,39 @@
     assert len(ledger(context.targets[0])) == count
 
 
-@when("a stand-in load of {rate:d} orders a second is sent for {duration_s:g} s")
-def step_send_load(context, rate, duration_s):
-    plan = {
+def order_plan(context, rate, duration_s):
+    """Return a load of orders whose report reads the ledgers of all targets."""
+    return {
         "entries": [f"http://{LOOPBACK}:{context.process.port}"],
         "ledgers": [f"http://{LOOPBACK}:{t.control_port}" for t in context.targets],
         "phases": [{"duration_s": duration_s, "rate": rate, "mix": {"order": 1}}],
         "kinds": {"order": {"deadline_ms": 20000}},
     }
+
+
+@when("a stand-in load of {rate:d} orders a second is sent for {duration_s:g} s")
+def step_send_load(context, rate, duration_s):
+    plan = order_plan(context, rate, duration_s)
     context.report = load_report(context.processes.load(plan))
 
 
+@when(
+    "the stand-in first target is killed and restarted {late_s:g} s "
+    "after a load of {duration_s:g} s"
+)
+def step_late_restart(context, late_s, duration_s):
+    load = context.processes.load(order_plan(context, 10, duration_s))
+    context.targets[0].kill()
+    time.sleep(duration_s + late_s)
+    context.targets[0].restart()
+    context.report = load_report(load)
+
+
+@then("the stand-in audit reached every ledger")
+def step_audit_reached(context):
+    assert context.report["audit"]["unreachable"] == [], context.report["audit"]
+
+
 @then("the stand-in report counts every run and finds doubled orders")
 def step_report(context):
     audit = context.report["audit"]
--- a/standins/load.py
+++ b/standins/load.py
@@ -28,6 +28,8 @@
 from .target_exchange import answer_body
 
 LEDGER_TIMEOUT_S = 30.0
+# Pause between two tries at a ledger whose target does not listen yet.
+LEDGER_RETRY_S = 0.2
 CHUNK_BYTES = 65_536
 
 
@@ -196,10 +198,22 @@
         }
 
     async def fetch_ledger(self, url):
-        """Return the rows of one target's ledger."""
-        timeout = aiohttp.ClientTimeout(total=LEDGER_TIMEOUT_S)
+        """Return the rows of one target's ledger.
+
+        A target that was killed may still be starting when the load ends; it is
+        asked again for ``LEDGER_TIMEOUT_S`` in all.
+        """
+        async with asyncio.timeout(LEDGER_TIMEOUT_S):
+            while True:
+                try:
+                    return await self.read_ledger(url)
+                except aiohttp.ClientConnectionError:
+                    await asyncio.sleep(LEDGER_RETRY_S)
+
+    async def read_ledger(self, url):
+        """Ask for the rows of one target's ledger once."""
         async with self.session.get(
-            url.rstrip("/") + "/ledger", timeout=timeout, raise_for_status=True
+            url.rstrip("/") + "/ledger", raise_for_status=True
         ) as response:
             return await response.json()
 
