Split the roles of hosts from the datagrams; refuse a fractional number of attempts

host/gossip.py had grown to 473 lines: who is heard, the hub and the watcher are host/neighbours.py now, unchanged.

--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -504,11 +504,11 @@
         fleet = FleetInMemory(4, 1)
         running = [asyncio.ensure_future(task.run()) for task in fleet.tasks.values()]
         await asyncio.sleep(0.6)
-        before = {task.watcher for task in fleet.tasks.values()}
-        hub = next(task for task in fleet.tasks.values() if task.is_hub)
+        before = {task.neighbours.watcher for task in fleet.tasks.values()}
+        hub = next(task for task in fleet.tasks.values() if task.neighbours.is_hub)
         hub.set_store_lost(True)
         await asyncio.sleep(limit_s)
-        after = {task.watcher for task in fleet.tasks.values()}
+        after = {task.neighbours.watcher for task in fleet.tasks.values()}
         for work in running:
             work.cancel()
         for task in fleet.tasks.values():
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -140,12 +140,12 @@
 
     def must_watch(self, now):
         """Tell whether this host calls the store itself."""
-        is_appointed = self.gossip.watcher == self.settings.host_id
+        is_appointed = self.gossip.neighbours.watcher == self.settings.host_id
         return is_appointed or not self.others_well(now)
 
     def others_well(self, now):
         """Tell whether other hosts pass the store's news on."""
-        heard_at = self.gossip.last_heard_at
+        heard_at = self.gossip.neighbours.last_heard_at
         if heard_at is None or now - heard_at > ALONE_S:
             return False
         confirmed_at = self.view.replica.confirmed_at
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -8,11 +8,11 @@
 
 from .. import events
 from ..decisions.health import Finding
-from ..decisions.hubs import HubChoice, appoint_watcher
 from ..errors import MessageRejected
 from ..peer.codec import decode_message, encode_message
 from ..peer.gen.oleander_messages.ttypes import Gossip, ItemChange, Observation
 from .model import StoreItem
+from .neighbours import Neighbours
 
 # Findings wait this long for others, at their host and at a hub; urgent ones do not.
 BATCH_S = 0.01
@@ -23,8 +23,6 @@
 HUB_BEACON_S = 0.1
 # The hubs' list of hosts that they hear is repeated at this interval.
 HEARD_LIST_S = 0.25
-# Hosts that were not heard for this long do not count any more.
-HEARD_S = 2.0
 # Datagrams above this size may be split or lost; larger news is fetched by TCP.
 MAX_CHANGE_BYTES = 900
 MAX_OBSERVATIONS = 30
@@ -70,14 +68,7 @@
 
     Attributes
     ----------
-    is_hub : bool
-        Whether this host passes the datagrams of its failure domain on.
-    last_heard_at : float or None
-        When any other host was last heard.
-    store_lost : bool
-        Whether the store fails the calls of this host.
-    watcher : HostId or None
-        The host that is to watch the store for this failure domain.
+    neighbours : Neighbours
     on_newer : callable or None
         Told the id of a host that knows more of the store, and its revision.
     """
@@ -87,7 +78,7 @@
         self.crashes = crashes
         self.clock = clock
         self.transport = None
-        self.is_hub = False
+        self.neighbours = Neighbours(view, clock)
         self.own = Outbox()
         # What a hub still has to pass on inside its domain, and to other domains.
         self.inward = Outbox()
@@ -95,13 +86,6 @@
         self.timers = {}
         self.sent_at = 0.0
         self.heard_list_at = 0.0
-        self.heard_at = view.heard_at
-        self.last_heard_at = None
-        self.hubs = {}
-        self.store_lost = False
-        # Which hosts have told that the store fails their calls.
-        self.lost = {}
-        self.watcher = None
         # A field of 16 bits, so their number is bounded.
         self.unknown_kinds = set()
         self.on_newer = None
@@ -134,16 +118,14 @@
             self.transport.close()
 
     async def run(self):
-        """Choose hubs, and send a beacon when nothing else was sent for a while."""
+        """Choose roles, and send a beacon when nothing else was sent for a while."""
         while True:
-            self.is_hub = self.hub_of(self.settings.failure_domain) is None
-            if self.is_hub:
-                self.appoint()
-            interval_s = HUB_BEACON_S if self.is_hub else BEACON_S
+            self.neighbours.choose_roles()
+            interval_s = HUB_BEACON_S if self.neighbours.is_hub else BEACON_S
             await asyncio.sleep(min(interval_s, HUB_BEACON_S))
             now = self.clock.now()
             is_silent = now - self.sent_at >= interval_s
-            if self.is_hub and (is_silent or self.is_list_due(now)):
+            if self.neighbours.is_hub and (is_silent or self.is_list_due(now)):
                 self.flush_inward(is_beacon=True)
             elif is_silent:
                 self.flush_own(is_beacon=True)
@@ -152,76 +134,17 @@
         """Tell whether a hub has to repeat which hosts it hears."""
         return now - self.heard_list_at >= HEARD_LIST_S
 
-    # Hubs
-
-    def appoint(self):
-        """Choose, as the hub, the host that watches the store."""
-        own = self.settings
-        now = self.clock.now()
-        lost = {own.host_id: self.store_lost}
-        for host_id in self.hosts_of(own.failure_domain):
-            if self.is_heard(host_id, now):
-                lost[host_id] = self.lost.get(host_id, False)
-        self.watcher = appoint_watcher(own.failure_domain, own.host_id, lost)
-
     def set_store_lost(self, is_lost):
         """Tell the others at once when the store begins or ceases to fail calls."""
-        if is_lost == self.store_lost:
+        if is_lost == self.neighbours.store_lost:
             return
-        self.store_lost = is_lost
-        if self.is_hub:
-            self.appoint()
+        self.neighbours.store_lost = is_lost
+        if self.neighbours.is_hub:
+            self.neighbours.appoint()
             self.flush_inward(is_beacon=True)
         else:
             self.flush_own(is_beacon=True)
 
-    def hub_of(self, failure_domain):
-        """Return the ``PeerHost`` that is the hub of a domain; None for this host."""
-        hosts = self.hosts_of(failure_domain)
-        own = self.settings
-        own_id = own.host_id if failure_domain == own.failure_domain else None
-        choice = self.hubs.get(failure_domain)
-        if choice is None:
-            choice = self.hubs[failure_domain] = HubChoice(failure_domain, own_id)
-        candidates = set(hosts)
-        if own_id is not None:
-            candidates.add(own_id)
-        return hosts.get(choice.choose(candidates, self.clock.now()))
-
-    def hosts_of(self, failure_domain):
-        """Return the other hosts of a failure domain by id."""
-        own_id = self.settings.host_id
-        found = {}
-        for host in self.view.hosts.values():
-            if host.failure_domain == failure_domain and host.host_id != own_id:
-                found[host.host_id] = host
-        return found
-
-    def other_hubs(self):
-        """Return the hubs of the other failure domains."""
-        domains = {host.failure_domain for host in self.view.hosts.values()}
-        domains.discard(self.settings.failure_domain)
-        found = []
-        for domain in domains:
-            hub = self.hub_of(domain)
-            if hub is not None:
-                found.append(hub)
-        return found
-
-    def heard_count(self):
-        """Return how many hosts are heard, this one included."""
-        now = self.clock.now()
-        count = 1
-        for host_id in self.view.hosts:
-            if host_id != self.settings.host_id and self.is_heard(host_id, now):
-                count += 1
-        return count
-
-    def is_heard(self, host_id, now):
-        """Tell whether another host was heard lately."""
-        heard_at = self.heard_at.get(host_id)
-        return heard_at is not None and now - heard_at < HEARD_S
-
     # Sending
 
     def report(
@@ -250,7 +173,7 @@
 
     def own_changed(self, is_urgent):
         """Send what this host has found, at once or in a batch."""
-        if not self.is_hub:
+        if not self.neighbours.is_hub:
             self.flush_soon(self.flush_own, 0.0 if is_urgent else BATCH_S)
             return
         for outbox in (self.inward, self.outward):
@@ -279,9 +202,9 @@
     def flush_own(self, is_beacon=False):
         """Send this host's findings to its hub."""
         self.timers.pop(self.flush_own, None)
-        hub = self.hub_of(self.settings.failure_domain)
+        hub = self.neighbours.hub_of(self.settings.failure_domain)
         if hub is None:
-            self.is_hub = True
+            self.neighbours.is_hub = True
             self.own_changed(is_urgent=False)
             return
         while is_beacon or not self.own.is_empty():
@@ -291,19 +214,19 @@
     def flush_inward(self, is_beacon=False):
         """Send what a hub has collected to the hosts of its failure domain."""
         self.timers.pop(self.flush_inward, None)
-        members = list(self.hosts_of(self.settings.failure_domain).values())
+        members = list(self.neighbours.hosts_of(self.settings.failure_domain).values())
         while is_beacon or not self.inward.is_empty():
             message = self.make_message(self.inward, to_hub=False)
             if is_beacon:
                 self.add_heard_list(message)
-                self.send(message, self.other_hubs())
+                self.send(message, self.neighbours.other_hubs())
             is_beacon = False
             self.send(message, members)
 
     def flush_outward(self):
         """Send what a hub has collected in its domain to the other hubs."""
         self.timers.pop(self.flush_outward, None)
-        hubs = self.other_hubs()
+        hubs = self.neighbours.other_hubs()
         while not self.outward.is_empty():
             self.send(self.make_message(self.outward, to_hub=True), hubs)
 
@@ -317,15 +240,15 @@
         for item in items:
             size += len(item.key) + len(item.value or b"") + 12
             changes.append(ItemChange(item.key, item.revision, item.value))
-        message = self.make_message(Outbox(), to_hub=not self.is_hub)
+        message = self.make_message(Outbox(), to_hub=not self.neighbours.is_hub)
         if 0 < size <= MAX_CHANGE_BYTES:
             message.changes = changes
             message.changes_after = after
-        if self.is_hub:
-            members = self.hosts_of(self.settings.failure_domain).values()
-            self.send(message, [*members, *self.other_hubs()])
+        if self.neighbours.is_hub:
+            members = self.neighbours.hosts_of(self.settings.failure_domain).values()
+            self.send(message, [*members, *self.neighbours.other_hubs()])
             return
-        hub = self.hub_of(self.settings.failure_domain)
+        hub = self.neighbours.hub_of(self.settings.failure_domain)
         if hub is not None:
             self.send(message, [hub])
 
@@ -338,10 +261,10 @@
             failure_domain=self.settings.failure_domain,
             to_hub=to_hub,
             revision=replica.revision,
-            store_lost=self.store_lost,
+            store_lost=self.neighbours.store_lost,
         )
-        if self.is_hub:
-            message.watcher = self.watcher
+        if self.neighbours.is_hub:
+            message.watcher = self.neighbours.watcher
         if replica.confirmed_at is not None:
             age_ms = int((now - replica.confirmed_at) * 1000)
             message.confirmed_ms = min(MAX_AGE_MS, max(0, age_ms))
@@ -356,11 +279,7 @@
         if not self.is_list_due(now):
             return
         self.heard_list_at = now
-        heard = []
-        for host_id in self.hosts_of(self.settings.failure_domain):
-            if self.is_heard(host_id, now):
-                heard.append(host_id)
-        message.heard = heard
+        message.heard = self.neighbours.heard_list()
 
     def send(self, message, hosts):
         """Send a datagram to each of ``hosts``."""
@@ -383,7 +302,7 @@
         if message.host_id == self.settings.host_id:
             return
         now = self.clock.now()
-        self.note_heard(message, now)
+        self.neighbours.note_heard(message, now)
         for observation in message.observations or ():
             if observation.host_id is None:
                 observation.host_id = message.host_id
@@ -398,20 +317,6 @@
         if self.view.replica.revision >= message.revision:
             self.view.confirmed(now - message.confirmed_ms / 1000)
 
-    def note_heard(self, message, now):
-        """Note which hosts are alive by a datagram."""
-        self.last_heard_at = now
-        self.heard_at[message.host_id] = now
-        self.lost[message.host_id] = bool(message.store_lost)
-        is_own_domain = message.failure_domain == self.settings.failure_domain
-        if message.watcher is not None and is_own_domain and not self.is_hub:
-            self.watcher = message.watcher
-        for host_id in message.heard or ():
-            self.heard_at[host_id] = now
-        choice = self.hubs.get(message.failure_domain)
-        if choice is not None:
-            choice.heard(message.host_id, now)
-
     def collect(self, message):
         """Keep findings for the hosts that this one is a hub for."""
         is_own_domain = message.failure_domain == self.settings.failure_domain
@@ -441,7 +346,7 @@
             load = (observation.in_system, observation.slots)
         sent_at = now - observation.age_ms / 1000
         sender = (observation.host_id, observation.send_number)
-        self.heard_at[observation.host_id] = now
+        self.neighbours.heard_at[observation.host_id] = now
         self.view.observe(
             observation.target_id, finding, sent_at, sender, latency_s, load
         )
@@ -469,5 +374,5 @@
         before = replica.revision
         self.view.apply(items)
         replica.advance(message.revision)
-        if self.is_hub:
+        if self.neighbours.is_hub:
             self.announce(items, max(before, after))
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -110,7 +110,7 @@
             self.view,
             self.pool,
             selector,
-            self.gossip,
+            self.gossip.neighbours,
             self.crashes,
             delivery,
             self.clock,
--- /dev/null
+++ b/oleanderroute/host/neighbours.py
@@ -0,0 +1,130 @@
+"""Which other hosts are heard, and what the hosts of a failure domain agree on."""
+
+from ..decisions.hubs import HubChoice, appoint_watcher
+
+# Hosts that were not heard for this long do not count any more.
+HEARD_S = 2.0
+
+
+class Neighbours:
+    """The other hosts as far as datagrams show them.
+
+    Parameters
+    ----------
+    view : FleetView
+    clock : Clock
+
+    Attributes
+    ----------
+    is_hub : bool
+        Whether this host passes the datagrams of its failure domain on.
+    last_heard_at : float or None
+        When any other host was last heard, in monotonic seconds.
+    store_lost : bool
+        Whether the store fails the calls of this host.
+    watcher : HostId or None
+        The host that is to watch the store for this failure domain.
+    """
+
+    def __init__(self, view, clock):
+        self.view = view
+        self.clock = clock
+        self.is_hub = False
+        self.heard_at = view.heard_at
+        self.last_heard_at = None
+        self.hubs = {}
+        self.store_lost = False
+        # Which hosts have told that the store fails their calls.
+        self.lost = {}
+        self.watcher = None
+
+    @property
+    def settings(self):
+        """The ``HostSettings`` in force."""
+        return self.view.settings
+
+    def choose_roles(self):
+        """Find out whether this host is the hub; a hub appoints the watcher."""
+        self.is_hub = self.hub_of(self.settings.failure_domain) is None
+        if self.is_hub:
+            self.appoint()
+
+    def appoint(self):
+        """Choose, as the hub, the host that watches the store."""
+        own = self.settings
+        now = self.clock.now()
+        lost = {own.host_id: self.store_lost}
+        for host_id in self.hosts_of(own.failure_domain):
+            if self.is_heard(host_id, now):
+                lost[host_id] = self.lost.get(host_id, False)
+        self.watcher = appoint_watcher(own.failure_domain, own.host_id, lost)
+
+    def hub_of(self, failure_domain):
+        """Return the ``PeerHost`` that is the hub of a domain; None for this host."""
+        hosts = self.hosts_of(failure_domain)
+        own = self.settings
+        own_id = own.host_id if failure_domain == own.failure_domain else None
+        choice = self.hubs.get(failure_domain)
+        if choice is None:
+            choice = self.hubs[failure_domain] = HubChoice(failure_domain, own_id)
+        candidates = set(hosts)
+        if own_id is not None:
+            candidates.add(own_id)
+        return hosts.get(choice.choose(candidates, self.clock.now()))
+
+    def hosts_of(self, failure_domain):
+        """Return the other hosts of a failure domain by id."""
+        own_id = self.settings.host_id
+        found = {}
+        for host in self.view.hosts.values():
+            if host.failure_domain == failure_domain and host.host_id != own_id:
+                found[host.host_id] = host
+        return found
+
+    def other_hubs(self):
+        """Return the hubs of the other failure domains."""
+        domains = {host.failure_domain for host in self.view.hosts.values()}
+        domains.discard(self.settings.failure_domain)
+        found = []
+        for domain in domains:
+            hub = self.hub_of(domain)
+            if hub is not None:
+                found.append(hub)
+        return found
+
+    def heard_count(self):
+        """Return how many hosts are heard, this one included."""
+        now = self.clock.now()
+        count = 1
+        for host_id in self.view.hosts:
+            if host_id != self.settings.host_id and self.is_heard(host_id, now):
+                count += 1
+        return count
+
+    def is_heard(self, host_id, now):
+        """Tell whether another host was heard lately."""
+        heard_at = self.heard_at.get(host_id)
+        return heard_at is not None and now - heard_at < HEARD_S
+
+    def heard_list(self):
+        """Return the ids of the hosts of this failure domain that are heard."""
+        now = self.clock.now()
+        heard = []
+        for host_id in self.hosts_of(self.settings.failure_domain):
+            if self.is_heard(host_id, now):
+                heard.append(host_id)
+        return heard
+
+    def note_heard(self, message, now):
+        """Note which hosts are alive by a datagram."""
+        self.last_heard_at = now
+        self.heard_at[message.host_id] = now
+        self.lost[message.host_id] = bool(message.store_lost)
+        is_own_domain = message.failure_domain == self.settings.failure_domain
+        if message.watcher is not None and is_own_domain and not self.is_hub:
+            self.watcher = message.watcher
+        for host_id in message.heard or ():
+            self.heard_at[host_id] = now
+        choice = self.hubs.get(message.failure_domain)
+        if choice is not None:
+            choice.heard(message.host_id, now)
--- a/oleanderroute/host/sender.py
+++ b/oleanderroute/host/sender.py
@@ -25,17 +25,17 @@
     view : FleetView
     pool : TargetPool
     selector : Selector
-    gossip : GossipTask
+    neighbours : Neighbours
     crashes : CrashLedger
     delivery : Delivery
     clock : Clock
     """
 
-    def __init__(self, view, pool, selector, gossip, crashes, delivery, clock):
+    def __init__(self, view, pool, selector, neighbours, crashes, delivery, clock):
         self.view = view
         self.pool = pool
         self.selector = selector
-        self.gossip = gossip
+        self.neighbours = neighbours
         self.crashes = crashes
         self.delivery = delivery
         self.clock = clock
@@ -215,7 +215,10 @@
     def is_repeat_allowed(self, exchange, is_hedge):
         """Tell whether the service may get one more repeated send."""
         return self.view.allowance_of(exchange.service).may_repeat(
-            self.gossip.heard_count(), self.view.host_count, self.clock.now(), is_hedge
+            self.neighbours.heard_count(),
+            self.view.host_count,
+            self.clock.now(),
+            is_hedge,
         )
 
     def is_late(self, exchange):
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -65,6 +65,14 @@
     return positive(document, name, path)
 
 
+def optional_count(document, name, default, path):
+    """Return a whole number above zero, or ``default``."""
+    value = optional_positive(document, name, default, path)
+    if value != int(value):
+        raise DocumentError(f"{path}.{name}", "not a whole number")
+    return int(value)
+
+
 def read_configuration(value):
     """Decode the operators' configuration.
 
@@ -134,7 +142,7 @@
         objective_s=objective_ms / 1000,
         destinations=read_destinations(spec, path),
         # The wire's "attempts" are the targets that one request may be sent to.
-        max_targets=int(optional_positive(spec, "maxAttempts", 1, path)),
+        max_targets=optional_count(spec, "maxAttempts", 1, path),
     )
 
 
