--- /dev/null
+++ b/features/host_sends.feature
@@ -0,0 +1,19 @@
+Feature: What a host sends and what it then tells the caller
+
+  # Guards against a second run of what may run once, a false "not run", and sends
+  # beyond the route's bound or after the caller has left.
+  Scenario Outline: Any ends of sends keep <kind> requests within their promises
+    Then host sends: any ends of the sends of <kind> requests keep the promises
+
+    Examples:
+      | kind       |
+      | once       |
+      | idempotent |
+
+  Scenario Outline: A caller who leaves ends all sends of <kind> requests
+    Then host sends: no send of <kind> requests goes on after the caller has left
+
+    Examples:
+      | kind       |
+      | once       |
+      | idempotent |
--- /dev/null
+++ b/features/steps/host_sends_steps.py
@@ -0,0 +1,198 @@
+"""Steps on the sends of one request, against targets that end in any way."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from behave import then
+from hypothesis import HealthCheck, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from features.steps.host_decisions_steps import entry
+from oleanderroute.clock import SystemClock
+from oleanderroute.decisions.allowance import RepeatAllowance
+from oleanderroute.decisions.health import TargetHealth
+from oleanderroute.decisions.latency import LatencySample
+from oleanderroute.decisions.selection import Selector, TargetView
+from oleanderroute.decisions.standing_queue import StandingQueue
+from oleanderroute.entry.messages import TargetAnswer
+from oleanderroute.entry.target_pool import ConnectionLimitReached
+from oleanderroute.errors import (
+    BetweenBytesTimeout,
+    ConnectFailed,
+    ConnectionBroken,
+    FirstByteTimeout,
+    MalformedAnswer,
+)
+from oleanderroute.host.delivery import Delivery
+from oleanderroute.host.exchange import Exchange
+from oleanderroute.host.model import Destination, HostRoute, Repeatability
+from oleanderroute.host.sender import Sender
+
+TARGETS = 5
+DEADLINE_S = 0.1
+MAX_TARGETS = 3
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+NOT_SENT = {
+    "refused": ConnectFailed("refused"),
+    "full": ConnectionLimitReached(1),
+}
+# Ends after which the target may have run the request.
+RAN = {
+    "no first byte": FirstByteTimeout("silent", True),
+    "stopped midway": BetweenBytesTimeout("silent", True),
+    "not HTTP": MalformedAnswer("not HTTP", True),
+    "broken": ConnectionBroken("reset", True),
+    "200": TargetAnswer(200, [], b"x"),
+    "500": TargetAnswer(500, [], b"x"),
+    "503 without proof": TargetAnswer(503, [], b"x"),
+    "429 without proof": TargetAnswer(429, [], b"x"),
+    "408 without proof": TargetAnswer(408, [], b"x"),
+}
+NOT_RUN = {
+    "503 not run": TargetAnswer(503, [], b"", not_started=True),
+    "421 not run": TargetAnswer(421, [], b"", not_started=True, misdirected=True),
+}
+SILENT = "silent"
+ENDS = [*NOT_SENT, *RAN, *NOT_RUN, SILENT]
+OFTEN = settings(
+    max_examples=150, deadline=None, suppress_health_check=list(HealthCheck)
+)
+
+
+class ScriptedPool:
+    """Targets whose sends end as a list says; they are silent after its end."""
+
+    def __init__(self, ends):
+        self.ends = list(ends)
+        self.runs = 0
+        self.reached = []
+        self.working = 0
+
+    async def exchange(self, target, request, first_byte_s, between_bytes_s):
+        end = self.ends.pop(0) if self.ends else SILENT
+        await asyncio.sleep(0)
+        if end in NOT_SENT:
+            raise NOT_SENT[end]
+        self.reached.append(target.target_id)
+        if end in NOT_RUN:
+            return NOT_RUN[end]
+        self.runs += 1
+        if end == SILENT:
+            self.working += 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.working -= 1
+        if isinstance(RAN[end], Exception):
+            raise RAN[end]
+        return RAN[end]
+
+    def has_idle(self, target_id):
+        return False
+
+
+def make_sender(pool):
+    """Return a ``Sender`` whose targets all look sound."""
+    clock = SystemClock()
+    now = clock.now()
+    views = []
+    for number in range(TARGETS):
+        views.append(TargetView(entry(f"t{number}"), TargetHealth(now)))
+    latencies = LatencySample()
+    queue = StandingQueue()
+    # Old enough for the whole fixed allowance.
+    allowance = RepeatAllowance(0.2, 100.0, 10.0, now - 100.0)
+    view = SimpleNamespace(
+        usable=lambda service: views,
+        latencies_of=lambda service: latencies,
+        queue_of=lambda service: queue,
+        allowance_of=lambda service: allowance,
+        host_count=1,
+    )
+    reporter = SimpleNamespace(
+        publish=lambda *findings: None, learn=lambda *findings: None
+    )
+    crashes = SimpleNamespace(
+        is_refused=lambda exchange: False, suspect=lambda exchange, target: None
+    )
+    headers = SimpleNamespace(attempt_headers=lambda *parts: [])
+    delivery = Delivery(view, pool, reporter, crashes, headers, clock)
+    return Sender(
+        view,
+        pool,
+        Selector("a", random.Random(1)),
+        SimpleNamespace(heard_count=lambda: 1),
+        crashes,
+        delivery,
+        clock,
+    )
+
+
+def make_exchange(kind):
+    """Return the ``Exchange`` of a request that may wait for ``DEADLINE_S``."""
+    repeatability = Repeatability(kind)
+    route = HostRoute(
+        "r", "h", "/", repeatability, 1.0, 0.08, (Destination("s", 1.0),), MAX_TARGETS
+    )
+    return Exchange(
+        request=SimpleNamespace(method="POST", raw_target=b"/", body=None),
+        route=route,
+        service="s",
+        attempt_id="a1",
+        attempt_id_bytes=b"a1",
+        deadline_at=SystemClock().now() + DEADLINE_S,
+        version=1,
+        base_headers=[],
+    )
+
+
+async def play(kind, ends, leaves_after_s=None):
+    """Run one request; return its answer, None if the caller left, and the pool."""
+    pool = ScriptedPool(ends)
+    work = asyncio.ensure_future(make_sender(pool).run(make_exchange(kind)))
+    answer = None
+    try:
+        async with asyncio.timeout(leaves_after_s):
+            answer = await work
+    except TimeoutError:
+        pass
+    reached = len(pool.reached)
+    # What was begun before has to end now, and nothing may begin any more.
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert len(pool.reached) == reached, (reached, pool.reached)
+    assert pool.working == 0, (ends, pool.working)
+    return answer, pool
+
+
+@then("host sends: any ends of the sends of {kind} requests keep the promises")
+def step_any_ends(context, kind):
+    @OFTEN
+    @for_all(st.lists(st.sampled_from(ENDS), max_size=8))
+    def keeps(ends):
+        answer, pool = asyncio.run(play(kind, ends))
+        told = (ends, answer.status, pool.runs, pool.reached)
+        if kind == "once":
+            assert pool.runs <= 1, told
+        if answer.status in PROMISES_NOT_RUN:
+            assert pool.runs == 0, told
+        if answer.status == 200:
+            assert "200" in ends, told
+        assert len(set(pool.reached)) == len(pool.reached) <= MAX_TARGETS, told
+
+    keeps()
+
+
+@then("host sends: no send of {kind} requests goes on after the caller has left")
+def step_caller_leaves(context, kind):
+    @OFTEN
+    @for_all(
+        st.lists(st.sampled_from(ENDS), max_size=4),
+        st.floats(min_value=0.0, max_value=DEADLINE_S),
+    )
+    def ends_with_caller(ends, leaves_after_s):
+        asyncio.run(play(kind, ends, leaves_after_s))
+
+    ends_with_caller()
