Refuse only requests whose repeat ended another target

Cause: two deaths under one fingerprint refused it for 300 s on all hosts, whoever ended the targets. A lookup that many callers send alike was refused after a failure that took two targets at once while they ran it, or took one now and another minutes later (new scenarios of host_sends.feature; both failed before). Change: a death counts as a repeat when the request was sent after the death before it, which notices now tell; a good answer takes the suspicion back, on all hosts. A request that ends one target after the other is refused as before (scenario). Ruled out: a bound by time alone, since a repeat of the same request follows a death within milliseconds.

--- a/features/host_sends.feature
+++ b/features/host_sends.feature
@@ -17,3 +17,16 @@
       | kind       |
       | once       |
       | idempotent |
+
+  # Guards against five minutes of refusals for a lookup that many callers send, because
+  # targets that it did not end died while they ran it.
+  Scenario Outline: A common lookup is served on after <deaths>
+    Then host sends: a common lookup is not refused after <deaths>
+
+    Examples:
+      | deaths                                        |
+      | two targets died at the same moment           |
+      | two targets died and it was served in between |
+
+  Scenario: A request that ends one target after another is refused
+    Then host sends: a request whose repeat ended a second target is refused
--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -25,6 +25,7 @@
     FirstByteTimeout,
     MalformedAnswer,
 )
+from oleanderroute.host.crashes import CONFIRM_AFTER_S, CrashLedger
 from oleanderroute.host.delivery import Delivery
 from oleanderroute.host.exchange import Exchange
 from oleanderroute.host.model import Destination, HostRoute, Repeatability
@@ -56,6 +57,11 @@
 }
 SILENT = "silent"
 ENDS = [*NOT_SENT, *RAN, *NOT_RUN, SILENT]
+NO_CRASHES = SimpleNamespace(
+    is_refused=lambda exchange: False,
+    suspect=lambda exchange, target, sent_at: None,
+    served=lambda exchange: None,
+)
 OFTEN = settings(
     max_examples=150, deadline=None, suppress_health_check=list(HealthCheck)
 )
@@ -68,6 +74,7 @@
         self.ends = list(ends)
         self.runs = 0
         self.reached = []
+        self.dead = set()
         self.working = 0
 
     async def exchange(self, target, request, first_byte_s, between_bytes_s):
@@ -85,6 +92,8 @@
                 await asyncio.Event().wait()
             finally:
                 self.working -= 1
+        if end == "broken":
+            self.dead.add(target.target_id)
         if isinstance(RAN[end], Exception):
             raise RAN[end]
         return RAN[end]
@@ -92,8 +101,13 @@
     def has_idle(self, target_id):
         return False
 
+    async def warm(self, target, count):
+        """Open a connection, as the confirmation of a crash does."""
+        if target.target_id in self.dead:
+            raise ConnectFailed("refused")
+
 
-def make_sender(pool):
+def make_sender(pool, crashes=NO_CRASHES):
     """Return a ``Sender`` whose targets all look sound."""
     clock = SystemClock()
     now = clock.now()
@@ -114,9 +128,6 @@
     reporter = SimpleNamespace(
         publish=lambda *findings: None, learn=lambda *findings: None
     )
-    crashes = SimpleNamespace(
-        is_refused=lambda exchange: False, suspect=lambda exchange, target: None
-    )
     headers = SimpleNamespace(attempt_headers=lambda *parts: [])
     delivery = Delivery(view, pool, reporter, crashes, headers, clock)
     return Sender(
@@ -137,7 +148,7 @@
         "r", "h", "/", repeatability, 1.0, 0.08, (Destination("s", 1.0),), MAX_TARGETS
     )
     return Exchange(
-        request=SimpleNamespace(method="POST", raw_target=b"/", body=None),
+        request=SimpleNamespace(method="GET", raw_target=b"/", body=None),
         route=route,
         service="s",
         attempt_id="a1",
@@ -196,3 +207,52 @@
         asyncio.run(play(kind, ends, leaves_after_s))
 
     ends_with_caller()
+
+
+class Crashing:
+    """Requests with one fingerprint, and the ledger of the targets they ended."""
+
+    def __init__(self):
+        self.pool = ScriptedPool([])
+        self.crashes = CrashLedger(self.pool, SystemClock())
+        self.sender = make_sender(self.pool, self.crashes)
+
+    async def send(self, *ends):
+        """Send as many requests at once as there are ends; confirm the crashes."""
+        self.pool.ends = list(ends)
+        runs = [self.sender.run(make_exchange("once")) for _ in ends]
+        await asyncio.gather(*runs)
+        await asyncio.sleep(2 * CONFIRM_AFTER_S)
+
+    def is_refused(self):
+        return self.crashes.is_refused(make_exchange("once"))
+
+
+@then("host sends: a common lookup is not refused after {deaths}")
+def step_common_lookup(context, deaths):
+    async def die():
+        crashing = Crashing()
+        if "same moment" in deaths:
+            await crashing.send("broken", "broken")
+        else:
+            await crashing.send("broken")
+            await crashing.send("200")
+            await crashing.send("broken")
+        return crashing
+
+    crashing = asyncio.run(die())
+    assert len(crashing.pool.dead) == 2, crashing.pool.dead
+    assert not crashing.is_refused()
+
+
+@then("host sends: a request whose repeat ended a second target is refused")
+def step_repeat_crashes(context):
+    async def die():
+        crashing = Crashing()
+        await crashing.send("broken")
+        await crashing.send("broken")
+        return crashing
+
+    crashing = asyncio.run(die())
+    assert len(crashing.pool.dead) == 2, crashing.pool.dead
+    assert crashing.is_refused()
--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -136,8 +136,12 @@
 struct CrashNotice {
   1: required string service_name
   2: required string fingerprint
-  // One target that broke, or all of them once the fingerprint is refused.
+  // One target that broke, or all of them once the fingerprint is refused. Empty when
+  // a target has served such a request after all.
   3: required list<string> target_ids
+  // Milliseconds since the request was sent, and since its connection broke.
+  4: optional i32 sent_ms
+  5: optional i32 broke_ms
 }
 
 // A target that answered that it drains.
--- a/oleanderroute/decisions/quarantine.py
+++ b/oleanderroute/decisions/quarantine.py
@@ -49,12 +49,28 @@
     ----------
     deaths : dict of TargetId to float
         Monotonic time in seconds of the latest death.
+    repeats : int
+        Deaths of one target after the other: the request was sent again after the
+        death before it. Targets that died side by side count once.
+    repeat_died_at : float
+        Time of the last death that counts as a repeat.
     refused_until : float or None
     """
 
     deaths: dict
+    repeats: int = 0
+    repeat_died_at: float = float("-inf")
     refused_until: float | None = None
 
+    def add(self, target_id, died_at, sent_at):
+        """Count a death; ``sent_at`` is None if it is not known."""
+        is_other = target_id not in self.deaths
+        is_repeat = sent_at is None or sent_at >= self.repeat_died_at
+        self.deaths[target_id] = died_at
+        if is_other and is_repeat:
+            self.repeats += 1
+            self.repeat_died_at = died_at
+
 
 class Quarantine:
     """Counts target deaths by request fingerprint and refuses confirmed causes.
@@ -89,7 +105,7 @@
         del self.refused[fingerprint]
         return False
 
-    def record_crash(self, fingerprint, target_id, now):
+    def record_crash(self, fingerprint, target_id, now, sent_at=None):
         """Count a connection that broke while the request ran on a target.
 
         Parameters
@@ -97,7 +113,11 @@
         fingerprint : Fingerprint
         target_id : TargetId
         now : float
-            Monotonic seconds.
+            Monotonic seconds at which the connection broke.
+        sent_at : float, optional
+            When the request was sent to the target. A death of a request that was
+            sent before the death that counted last is no repeat: one failure may
+            end several targets that run the same request.
 
         Returns
         -------
@@ -107,8 +127,8 @@
             return self._record_late_death(fingerprint, target_id, now)
         record = self._suspect(fingerprint, now)
         is_known = target_id in record.deaths
-        record.deaths[target_id] = now
-        if len(record.deaths) >= DEATHS_TO_REFUSE:
+        record.add(target_id, now, sent_at)
+        if record.repeats >= DEATHS_TO_REFUSE:
             return self._refuse(fingerprint, record, now)
         reason = CrashReason.SAME_TARGET if is_known else CrashReason.FIRST_DEATH
         return CrashVerdict(False, reason, ())
@@ -120,6 +140,17 @@
         """
         return self.record_crash(fingerprint, target_id, now)
 
+    def absolve(self, fingerprint):
+        """Forget the deaths of a request that a target has served after all.
+
+        Returns
+        -------
+        was_known : bool
+        """
+        suspected = self.suspected.pop(fingerprint, None)
+        refused = self.refused.pop(fingerprint, None)
+        return suspected is not None or refused is not None
+
     def is_excused(self, fingerprint, target_id, now):
         """Return whether a death must not count towards ejection.
 
@@ -140,6 +171,7 @@
         for target_id, died_at in list(record.deaths.items()):
             if now - died_at >= SUSPICION_S:
                 del record.deaths[target_id]
+                record.repeats = min(record.repeats, len(record.deaths))
         self.suspected[fingerprint] = record
         self._forget_oldest(now)
         return record
--- a/oleanderroute/host/crashes.py
+++ b/oleanderroute/host/crashes.py
@@ -1,13 +1,14 @@
 """Counts over the fleet which requests end the targets that run them."""
 
 import asyncio
+from dataclasses import dataclass
 
 from .. import events
 from ..decisions.fingerprint import crash_fingerprint
 from ..decisions.quarantine import Quarantine
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import ConnectFailed
-from ..ids import Workspace
+from ..ids import Fingerprint, TargetId, Workspace
 from ..peer.gen.oleander_messages.ttypes import CrashNotice
 
 NO_WORKSPACE = Workspace("")
@@ -16,6 +17,27 @@
 CONFIRM_AFTER_S = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A connection that broke while a target ran a request.
+
+    Attributes
+    ----------
+    sent_at : float or None
+        When the request was sent, in monotonic seconds; None if it is not known.
+    broke_at : float
+        Monotonic seconds.
+    request_id : str
+        Empty if another host sent the request.
+    """
+
+    fingerprint: Fingerprint
+    target_id: TargetId
+    sent_at: float | None
+    broke_at: float
+    request_id: str
+
+
 class CrashLedger:
     """The quarantine of this host, fed by its own requests and by other hosts.
 
@@ -51,41 +73,79 @@
             return False
         return self.quarantine.is_refused(self.fingerprint(exchange), self.clock.now())
 
-    def suspect(self, exchange, entry):
-        """Count a broken connection as a crash if the target is down."""
-        task = asyncio.ensure_future(self.confirm(exchange, entry))
+    def suspect(self, exchange, entry, sent_at):
+        """Count a broken connection as a crash if the target is down.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the request was sent to the target.
+        """
+        crash = Crash(
+            self.fingerprint(exchange),
+            entry.target_id,
+            sent_at,
+            self.clock.now(),
+            exchange.attempt_id,
+        )
+        task = asyncio.ensure_future(self.confirm(crash, entry))
         self.confirming.add(task)
         task.add_done_callback(self.confirming.discard)
 
-    async def confirm(self, exchange, entry):
+    async def confirm(self, crash, entry):
         """Ask the target for a connection, and record a crash if it has none."""
         await asyncio.sleep(CONFIRM_AFTER_S)
         try:
             await self.pool.warm(entry, 1)
         except ConnectFailed:
-            self.record(exchange, entry.target_id)
+            self.record(crash)
         except ConnectionLimitReached:
             # Busy connections show that the target goes on.
             return
 
-    def record(self, exchange, target_id):
+    def record(self, crash):
         """Count a crash, and tell the other hosts."""
+        self.count(crash)
+        if self.on_crash is None:
+            return
+        now = self.clock.now()
+        notice = CrashNotice(
+            "",
+            crash.fingerprint,
+            [crash.target_id],
+            int((now - crash.sent_at) * 1000),
+            int((now - crash.broke_at) * 1000),
+        )
+        self.on_crash(notice)
+
+    def served(self, exchange):
+        """Take back what a request is suspected of: a target has served it."""
+        quarantine = self.quarantine
+        if not quarantine.suspected and not quarantine.refused:
+            return
         fingerprint = self.fingerprint(exchange)
-        self.count(fingerprint, target_id, exchange.attempt_id)
-        if self.on_crash is not None:
-            self.on_crash(CrashNotice("", fingerprint, [target_id]))
+        if quarantine.absolve(fingerprint) and self.on_crash is not None:
+            self.on_crash(CrashNotice("", fingerprint, []))
 
     def take_notice(self, notice):
         """Count what another host saw."""
+        if not notice.target_ids:
+            self.quarantine.absolve(notice.fingerprint)
+        now = self.clock.now()
+        sent_at = None if notice.sent_ms is None else now - notice.sent_ms / 1000
+        broke_at = now - (notice.broke_ms or 0) / 1000
         for target_id in notice.target_ids:
-            self.count(notice.fingerprint, target_id, "")
+            self.count(Crash(notice.fingerprint, target_id, sent_at, broke_at, ""))
 
-    def count(self, fingerprint, target_id, request_id):
+    def count(self, crash):
         """Count one crash and log a new refusal."""
-        now = self.clock.now()
-        was_refused = self.quarantine.is_refused(fingerprint, now)
-        verdict = self.quarantine.record_crash(fingerprint, target_id, now)
+        was_refused = self.quarantine.is_refused(crash.fingerprint, crash.broke_at)
+        verdict = self.quarantine.record_crash(
+            crash.fingerprint, crash.target_id, crash.broke_at, crash.sent_at
+        )
         if verdict.is_refused and not was_refused:
             events.FINGERPRINT_QUARANTINED.log(
-                fingerprint=fingerprint, target=target_id, request=request_id
+                fingerprint=crash.fingerprint,
+                target=crash.target_id,
+                request=crash.request_id,
             )
--- a/oleanderroute/host/delivery.py
+++ b/oleanderroute/host/delivery.py
@@ -95,7 +95,7 @@
             record,
         )
         try:
-            outcome = await self.exchange(exchange, target)
+            outcome = await self.exchange(exchange, target, now)
         except asyncio.CancelledError:
             record.result = SendResult.CANCELLED
             self.reporter.publish(target, Finding.ENDED, record)
@@ -107,12 +107,14 @@
         record.result = outcome.result
         if outcome.answer is not None:
             record.status = outcome.answer.status
-        if outcome.is_good and not record.is_queued:
-            latencies.add_service(record.elapsed_s)
+        if outcome.is_good:
+            self.crashes.served(exchange)
+            if not record.is_queued:
+                latencies.add_service(record.elapsed_s)
         self.reporter.learn(target, outcome, record, overdue.stage)
         return outcome
 
-    async def exchange(self, exchange, target):
+    async def exchange(self, exchange, target, sent_at):
         """Run the exchange with a target and classify its end."""
         entry = target.entry
         remaining_s = exchange.deadline_at - self.clock.now()
@@ -134,7 +136,7 @@
         except MalformedAnswer:
             return SendOutcome(SendResult.MALFORMED)
         except TargetError:
-            self.crashes.suspect(exchange, entry)
+            self.crashes.suspect(exchange, entry, sent_at)
             return SendOutcome(SendResult.BROKEN)
         if answer.not_started:
             exchange.may_have_run = may_have_run
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -2097,6 +2097,8 @@
      - service_name
      - fingerprint
      - target_ids
+     - sent_ms
+     - broke_ms
 
     """
 
@@ -2104,13 +2106,17 @@
         'service_name',
         'fingerprint',
         'target_ids',
+        'sent_ms',
+        'broke_ms',
     )
 
 
-    def __init__(self, service_name=None, fingerprint=None, target_ids=None,):
+    def __init__(self, service_name=None, fingerprint=None, target_ids=None, sent_ms=None, broke_ms=None,):
         self.service_name = service_name
         self.fingerprint = fingerprint
         self.target_ids = target_ids
+        self.sent_ms = sent_ms
+        self.broke_ms = broke_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2141,6 +2147,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.sent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.broke_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2166,6 +2182,14 @@
                 oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I32, 4)
+            oprot.writeI32(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.broke_ms is not None:
+            oprot.writeFieldBegin('broke_ms', TType.I32, 5)
+            oprot.writeI32(self.broke_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4045,6 +4069,8 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'target_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I32, 'sent_ms', None, None, ),  # 4
+    (5, TType.I32, 'broke_ms', None, None, ),  # 5
 )
 all_structs.append(DrainNotice)
 DrainNotice.thrift_spec = (
