--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -71,6 +71,11 @@
         if is_own:
             self.own_sends.add(is_repeat, now)
 
+    def expire(self, now):
+        """Drop the sends that have left the window."""
+        self.all_sends.expire(now)
+        self.own_sends.expire(now)
+
     def limit(self, reachable_hosts, known_hosts, now):
         """Return the repeats that all reachable hosts may send in a window."""
         age_share = min(1.0, (now - self.started_at) / self.window_s)
@@ -98,8 +103,7 @@
         is_hedge : bool
             Whether the first send may still succeed.
         """
-        self.all_sends.expire(now)
-        self.own_sends.expire(now)
+        self.expire(now)
         limit = self.limit(reachable_hosts, known_hosts, now)
         if is_hedge:
             limit *= 1.0 - HEDGE_RESERVE_SHARE
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -431,7 +431,7 @@
     "copy_failed",
     "A copy of the store's items did not get from one host to another.",
     Level.INFO,
-    ("peer", "reason"),
+    ("peer", "reason", "after", "bytes", "elapsed_ms"),
 )
 GOSSIP_REJECTED = define(
     620,
@@ -449,6 +449,51 @@
     ("sender", "kind"),
     "End the upgrade of the fleet, so that all hosts run one version.",
 )
+COPY_SERVED = define(
+    622,
+    "copy_served",
+    "This host sent another one a large copy of the store's items.",
+    Level.INFO,
+    ("peer", "after", "revision", "bytes", "elapsed_ms"),
+)
+COPY_FETCHED = define(
+    623,
+    "copy_fetched",
+    "This host got a large copy of the store's items from another one.",
+    Level.INFO,
+    ("peer", "after", "revision", "bytes", "elapsed_ms"),
+)
+HUB_ROLE_CHANGED = define(
+    624,
+    "hub_role_changed",
+    "This host began or ceased to forward the findings of its failure domain.",
+    Level.INFO,
+    ("is_hub",),
+)
+GOSSIP_SUMMARY = define(
+    625,
+    "gossip_summary",
+    "Datagrams and bytes that this host sent and received in the last interval.",
+    Level.INFO,
+    ("sent", "sent_bytes", "received", "received_bytes", "is_hub"),
+)
+REPEATS_COUNTED = define(
+    626,
+    "repeats_counted",
+    "Sends to a service in the window: by all hosts as counted here, and by this one.",
+    Level.INFO,
+    (
+        "service",
+        "first",
+        "repeats",
+        "own_first",
+        "own_repeats",
+        "missed",
+        "limit",
+        "live",
+        "known",
+    ),
+)
 CONFIGURATION_IN_FORCE = define(
     630,
     "configuration_in_force",
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -1,6 +1,7 @@
 """Transfer of the store's items between hosts, by TCP."""
 
 import asyncio
+import time
 
 from .. import events
 from ..errors import MessageRejected, PeerTimeout, PeerUnreachable
@@ -17,6 +18,13 @@
 MAX_COPY_BYTES = 16 * 1024 * 1024
 # The transfer of some hundred items takes milliseconds.
 EXCHANGE_TIMEOUT_S = 0.8
+# Smaller copies are not logged.
+LARGE_COPY_BYTES = 64 * 1024
+
+
+def elapsed_ms(started_at):
+    """Return the milliseconds since a monotonic time in seconds."""
+    return int((time.monotonic() - started_at) * 1000)
 
 
 class CopyServer:
@@ -45,13 +53,34 @@
 
     async def serve(self, reader, writer):
         """Answer one request and close the connection."""
+        peer, after, size = "caller", 0, 0
+        started_at = time.monotonic()
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
                 request = decode_message(CopyRequest(), await read_frame(reader))
-                writer.write(encode_frame(self.make_reply(request), MAX_COPY_BYTES))
+                peer, after = request.host_id, request.after_revision
+                reply = self.make_reply(request)
+                frame = encode_frame(reply, MAX_COPY_BYTES)
+                size = len(frame)
+                writer.write(frame)
                 await writer.drain()
         except (OSError, EOFError, TimeoutError, MessageRejected) as error:
-            events.COPY_FAILED.log(peer="caller", reason=repr(error))
+            events.COPY_FAILED.log(
+                peer=peer,
+                reason=repr(error),
+                after=after,
+                bytes=size,
+                elapsed_ms=elapsed_ms(started_at),
+            )
+        else:
+            if size >= LARGE_COPY_BYTES:
+                events.COPY_SERVED.log(
+                    peer=peer,
+                    after=after,
+                    revision=reply.revision,
+                    bytes=size,
+                    elapsed_ms=elapsed_ms(started_at),
+                )
         finally:
             writer.close()
 
@@ -82,20 +111,28 @@
     ------
     PeerTimeout, PeerUnreachable, MessageRejected
     """
+    started_at = time.monotonic()
     try:
         async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(address, port)
             try:
                 writer.write(encode_frame(CopyRequest(host_id, after_revision)))
-                reply = decode_message(
-                    CopyReply(), await read_frame(reader, MAX_COPY_BYTES)
-                )
+                body = await read_frame(reader, MAX_COPY_BYTES)
+                reply = decode_message(CopyReply(), body)
             finally:
                 writer.close()
     except TimeoutError as error:
         raise PeerTimeout(f"{address}:{port}") from error
     except (OSError, EOFError) as error:
         raise PeerUnreachable(f"{address}:{port}: {error!r}") from error
+    if len(body) >= LARGE_COPY_BYTES:
+        events.COPY_FETCHED.log(
+            peer=f"{address}:{port}",
+            after=after_revision,
+            revision=reply.revision,
+            bytes=len(body),
+            elapsed_ms=elapsed_ms(started_at),
+        )
     items = []
     for change in reply.items:
         items.append(StoreItem(change.key, change.revision, change.value))
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -6,6 +6,7 @@
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
 from ..decisions.selection import TargetView
+from ..decisions.send_gaps import SendGaps
 from ..decisions.standing_queue import StandingQueue
 from ..errors import DocumentError
 from .routes import PrefixRoutes
@@ -50,6 +51,7 @@
         self.latencies = {}
         self.queues = {}
         self.allowances = {}
+        self.send_gaps = SendGaps()
         self.started_at = clock.now()
         self.store_recovered_at = float("-inf")
         # Targets whose entry was removed while the store was recovering, and the time
@@ -311,6 +313,7 @@
             allowance.record(finding is Finding.RESENT, sender is None, now)
             if sender is not None:
                 view.record_remote_send(sender, now)
+                self.send_gaps.record(*sender)
         elif sender is not None and finding not in INTERIM_FINDINGS:
             view.record_remote_end(sender)
 
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -219,12 +219,18 @@
     async def fetch_from(self, address, port):
         """Fetch the changes from another host; return whether it answered."""
         replica = self.view.replica
+        started_at = self.clock.now()
         try:
             revision, is_complete, items = await fetch_copy(
                 address, port, self.settings.host_id, replica.revision
             )
         except PeerError as error:
-            events.COPY_FAILED.log(peer=f"{address}:{port}", reason=repr(error))
+            events.COPY_FAILED.log(
+                peer=f"{address}:{port}",
+                reason=repr(error),
+                after=replica.revision,
+                elapsed_ms=int((self.clock.now() - started_at) * 1000),
+            )
             return False
         if revision <= replica.revision:
             return True
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 from .. import events
 from ..decisions.health import Finding
@@ -58,6 +59,19 @@
         return observations, crashes
 
 
+@dataclass(slots=True)
+class TrafficCount:
+    """Datagrams and bytes in one direction since the process started."""
+
+    datagrams: int = 0
+    size: int = 0
+
+    def add(self, datagrams, size):
+        """Count datagrams of ``size`` bytes each."""
+        self.datagrams += datagrams
+        self.size += datagrams * size
+
+
 class GossipTask(asyncio.DatagramProtocol):
     """Sends this host's findings and receives those of other hosts.
 
@@ -88,6 +102,8 @@
         self.timers = {}
         self.sent_at = 0.0
         self.live_list_sent_at = 0.0
+        self.sent = TrafficCount()
+        self.received = TrafficCount()
         # The size is bounded, as the field has 16 bits.
         self.unknown_kinds = set()
         self.on_newer_revision = None
@@ -296,6 +312,7 @@
             return
         self.sent_at = self.clock.now()
         datagram = encode_message(message)
+        self.sent.add(len(hosts), len(datagram))
         for host in hosts:
             self.transport.sendto(datagram, (host.address, host.gossip_port))
 
@@ -303,6 +320,7 @@
 
     def datagram_received(self, data, address):
         """Apply a datagram; drop it if it is malformed."""
+        self.received.add(1, len(data))
         try:
             message = decode_message(Gossip(), data)
         except MessageRejected as error:
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -44,6 +44,22 @@
             registry=registry,
         )
 
+        self.gossip_bytes = Gauge(
+            "oleander_host_gossip_bytes",
+            "Bytes of datagrams to other hosts since the start, by direction.",
+            registry=registry,
+        )
+        self.sends_missed = Gauge(
+            "oleander_host_remote_sends_missed",
+            "Sends of other hosts since the start of which no finding arrived.",
+            registry=registry,
+        )
+        self.counted_sends = Gauge(
+            "oleander_host_counted_sends",
+            "Sends in the window of the repeat limit, by service, kind and sender.",
+            registry=registry,
+        )
+
     def request_finished(self, exchange, answer, elapsed_s):
         """Count a request and its sends."""
         service = exchange.service
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -33,6 +33,7 @@
 from .logsink import LogSink
 from .proxy import HostProxy
 from .requestlog import RequestLog
+from .summary import SummaryLog
 from .target_sender import TargetSender
 
 EXIT_SETTINGS = 2
@@ -88,6 +89,7 @@
             self.view, self.store, self.gossip, documents, self.clock, self.rng
         )
         self.copies = CopyServer(self.view)
+        self.summary = SummaryLog(self.view, self.gossip, self.metrics)
         self.build_request_path()
 
     @property
@@ -208,6 +210,7 @@
             self.view.remove_unreturned_targets(now)
             self.view.remove_expired_hosts(now)
             self.metrics.log_lines_dropped.set({}, self.sink.dropped)
+            self.summary.update(now)
             self.follower.finish_load("host")
             if file_signature(self.settings_path) != self.settings_signature:
                 self.reload_settings()
--- a/oleanderroute/host/membership.py
+++ b/oleanderroute/host/membership.py
@@ -1,5 +1,6 @@
 """Live hosts, and the hub and watcher of each failure domain."""
 
+from .. import events
 from ..decisions.hubs import HubChoice, appoint_watcher
 
 # A host that was not seen for this time is not counted as live.
@@ -45,8 +46,11 @@
 
     def choose_roles(self):
         """Determine whether this host is the hub; as the hub, appoint the watcher."""
-        self.is_hub = self.hub_of(self.settings.failure_domain) is None
-        if self.is_hub:
+        is_hub = self.hub_of(self.settings.failure_domain) is None
+        if is_hub != self.is_hub:
+            events.HUB_ROLE_CHANGED.log(is_hub=is_hub)
+        self.is_hub = is_hub
+        if is_hub:
             self.update_watcher()
 
     def update_watcher(self):
--- /dev/null
+++ b/oleanderroute/host/summary.py
@@ -0,0 +1,76 @@
+"""Periodic log lines about the traffic between hosts and the repeat limit."""
+
+from .. import events
+
+SUMMARY_INTERVAL_S = 5.0
+
+
+class SummaryLog:
+    """Logs, at a fixed interval, what other decisions of a host rest on.
+
+    Parameters
+    ----------
+    view : FleetView
+    gossip : GossipTask
+    metrics : HostMetrics
+    """
+
+    def __init__(self, view, gossip, metrics):
+        self.view = view
+        self.gossip = gossip
+        self.metrics = metrics
+        self.due_at = view.started_at + SUMMARY_INTERVAL_S
+        self.sent = (0, 0)
+        self.received = (0, 0)
+
+    def update(self, now):
+        """Write the lines and set the metrics if the interval has passed."""
+        if now < self.due_at:
+            return
+        self.due_at = now + SUMMARY_INTERVAL_S
+        self.summarize_gossip()
+        for service, allowance in self.view.allowances.items():
+            self.summarize_repeats(service, allowance, now)
+
+    def summarize_gossip(self):
+        """Log the datagrams since the last line."""
+        sent, received = self.gossip.sent, self.gossip.received
+        events.GOSSIP_SUMMARY.log(
+            sent=sent.datagrams - self.sent[0],
+            sent_bytes=sent.size - self.sent[1],
+            received=received.datagrams - self.received[0],
+            received_bytes=received.size - self.received[1],
+            is_hub=self.gossip.membership.is_hub,
+        )
+        self.sent = (sent.datagrams, sent.size)
+        self.received = (received.datagrams, received.size)
+        self.metrics.gossip_bytes.set({"direction": "sent"}, sent.size)
+        self.metrics.gossip_bytes.set({"direction": "received"}, received.size)
+
+    def summarize_repeats(self, service, allowance, now):
+        """Log how many sends to a service are counted in the window."""
+        live = self.gossip.membership.live_host_count()
+        known = self.view.host_count
+        allowance.expire(now)
+        counted = allowance.all_sends
+        own = allowance.own_sends
+        missed = self.view.send_gaps.total()
+        events.REPEATS_COUNTED.log(
+            service=service,
+            first=len(counted.first_sends),
+            repeats=len(counted.repeats),
+            own_first=len(own.first_sends),
+            own_repeats=len(own.repeats),
+            missed=missed,
+            limit=int(allowance.limit(live, known, now)),
+            live=live,
+            known=known,
+        )
+        self.metrics.sends_missed.set({}, missed)
+        for sender, window in (("all", counted), ("own", own)):
+            for kind, sends in (
+                ("first", window.first_sends),
+                ("repeat", window.repeats),
+            ):
+                labels = {"service": service, "kind": kind, "sender": sender}
+                self.metrics.counted_sends.set(labels, len(sends))
