--- /dev/null
+++ b/features/steps/thin_links_steps.py
@@ -0,0 +1,174 @@
+import asyncio
+import random
+from types import SimpleNamespace
+
+import orjson
+from behave import given, then, when
+
+from features.steps.host_sends_steps import NO_CRASHES
+from features.support.platform_fleet import ROUTES, configuration, route
+from features.support.thin_links import VirtualFleet
+from oleanderroute.decisions.selection import Selector
+from oleanderroute.host.exchange import Exchange
+from oleanderroute.host.findings import FindingReporter
+from oleanderroute.host.forwarder import RequestForwarder
+from oleanderroute.host.model import Destination, HostRoute, Repeatability
+from oleanderroute.host.target_sender import TargetSender
+
+RATIO, ALLOWANCE, WINDOW_S = 0.2, 50.0, 10.0
+SETTLE_S = 4.0
+
+
+def random_name(rng, length=8):
+    return "".join(
+        rng.choice("abcdefghijklmnopqrstuvwxyz0123456789") for _ in range(length)
+    )
+
+
+def link_speeds(hosts, links):
+    """Return the Mbit/s of each host of a failure domain."""
+    numbers = [float(word) for word in links.split() if word[0].isdigit()]
+    if len(numbers) == 1:
+        return numbers * hosts
+    slow, fast = numbers
+    return [slow] * (hosts - 2) + [fast] * 2
+
+
+@given("thin links: {domains:d} failure domains of {hosts:d} hosts on {links} links")
+@given(
+    "thin links: {domains:d} failure domain of {hosts:d} hosts on {links} links, with "
+    "{targets:d} targets"
+)
+def step_fleet(context, domains, hosts, links, targets=0):
+    context.fleet = VirtualFleet(
+        link_speeds(hosts, links), domains, configuration(1, list(ROUTES)), targets
+    )
+
+
+@when(
+    "thin links: the configuration grows by {count:d} routes and changes {changes:d} "
+    "times, each {gap_s:g} s"
+)
+def step_grow(context, count, changes, gap_s):
+    fleet = context.fleet
+    rng = random.Random(7)
+    routes = list(ROUTES)
+    for _ in range(count):
+        name = f"r-{random_name(rng)}"
+        routes.append(route(name, "safe", f"/{random_name(rng)}/"))
+
+    async def scenario():
+        await asyncio.sleep(SETTLE_S)
+        context.sent_at = {}
+        for version in range(2, 3 + changes):
+            routes[0]["spec"]["timeoutMs"] = 1000 + version
+            document = orjson.dumps(configuration(version, routes))
+            fleet.shared.put("op/config", document)
+            context.sent_at[version] = fleet.loop.time()
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(8.0)
+
+    fleet.run(scenario())
+
+
+@then("thin links: each host has each version in force within {limit_s:g} s")
+def step_in_force(context, limit_s):
+    late = {}
+    for version, sent_at in context.sent_at.items():
+        slowest = context.fleet.lateness(version, sent_at)[-1]
+        if slowest > limit_s:
+            late[version] = round(slowest, 2)
+    assert not late, late
+
+
+async def send_requests(fleet, host, per_s, until):
+    """Send lookups and orders by turns, at random times, until a time."""
+    forwarder = make_forwarder(host)
+    rng = fleet.loop.rng
+    requests = []
+    number = 0
+    while fleet.loop.now < until:
+        await asyncio.sleep(rng.expovariate(per_s))
+        number += 1
+        exchange = make_exchange(
+            "idempotent" if number % 2 else "once",
+            f"{host.settings.host_id}/{number}".encode(),
+            fleet.loop.now,
+        )
+        fleet.requests.append(fleet.loop.now)
+        requests.append(asyncio.ensure_future(forwarder.run(exchange)))
+    await asyncio.gather(*requests)
+
+
+def make_forwarder(host):
+    reporter = FindingReporter(host.view, host.gossip)
+    headers = SimpleNamespace(attempt_headers=lambda *parts: [])
+    target_sender = TargetSender(
+        host.view, host.pool, reporter, NO_CRASHES, headers, host.clock
+    )
+    return RequestForwarder(
+        host.view,
+        host.pool,
+        Selector(host.settings.failure_domain, random.Random(host.settings.host_id)),
+        host.gossip.membership,
+        NO_CRASHES,
+        target_sender,
+        host.clock,
+    )
+
+
+def make_exchange(kind, attempt_id, now):
+    destination = (Destination("pedidos", 1.0),)
+    repeatability = Repeatability(kind)
+    return Exchange(
+        request=SimpleNamespace(method="GET", raw_target=b"/", body=None),
+        route=HostRoute("r", "h", "/", repeatability, 1.5, 0.6, destination, 3),
+        service="pedidos",
+        attempt_id=attempt_id.decode(),
+        attempt_id_bytes=attempt_id,
+        deadline_at=now + 1.5,
+        version=1,
+        base_headers=[],
+    )
+
+
+@when(
+    "thin links: each host gets {per_s:d} requests a second, and after {calm_s:d} s "
+    "targets refuse half for {refusing_s:d} s"
+)
+def step_refusing(context, per_s, calm_s, refusing_s):
+    fleet = context.fleet
+    fleet.requests = []
+
+    async def scenario():
+        await asyncio.sleep(SETTLE_S)
+        until = fleet.loop.now + calm_s + refusing_s
+        callers = []
+        for host in fleet.hosts.values():
+            callers.append(send_requests(fleet, host, per_s, until))
+        fleet.loop.call_later(calm_s, setattr, fleet, "refused_share", 0.5)
+        await asyncio.gather(*callers)
+
+    fleet.run(scenario())
+
+
+@then("thin links: the repeats of all hosts stay within the limit")
+def step_within_limit(context):
+    fleet = context.fleet
+    seen = set()
+    repeats = []
+    for attempt_id, at in sorted(fleet.arrivals, key=lambda arrival: arrival[1]):
+        if attempt_id in seen:
+            repeats.append(at)
+        seen.add(attempt_id)
+    assert len(repeats) > ALLOWANCE, "the refused requests were hardly repeated"
+    worst = 0.0
+    for end in repeats:
+        recent = sum(1 for at in repeats if end - WINDOW_S < at <= end)
+        requests = 0
+        for shift_s in (0.0, WINDOW_S / 2, WINDOW_S):
+            until = end - shift_s
+            inside = [at for at in fleet.requests if until - WINDOW_S < at <= until]
+            requests = max(requests, len(inside))
+        worst = max(worst, recent / (RATIO * requests + ALLOWANCE))
+    assert worst <= 1.0, f"{worst:.2f} times the limit"
--- /dev/null
+++ b/features/support/thin_links.py
@@ -0,0 +1,452 @@
+"""Hosts of one fleet in virtual time, behind links of limited bandwidth.
+
+The event loop replaces sockets by in-memory transports: bytes queue at the link of the
+sender and at that of the receiver, and a datagram that meets a full queue is lost.
+Time advances from one timer to the next, so that seconds of a fleet take a moment.
+"""
+
+import asyncio
+import random
+import selectors
+from contextvars import ContextVar
+from types import SimpleNamespace
+
+import orjson
+
+from oleanderroute.entry.messages import TargetAnswer
+from oleanderroute.host.copies import CopyServer
+from oleanderroute.host.fleetview import FleetView
+from oleanderroute.host.follower import StoreFollower
+from oleanderroute.host.gossip import GossipTask
+from oleanderroute.host.model import HostSettings, ItemPage, StoreItem
+from oleanderroute.platform import documents
+
+LATENCY_S = 0.0015
+# Bytes of one connection that may be under way; the rest waits at the sender.
+WINDOW_BYTES = 32 * 1024
+SEGMENT_BYTES = 8 * 1024
+WRITE_BUFFER_BYTES = 64 * 1024
+# A datagram is lost if its link has more than this to send first.
+MAX_QUEUE_S = 0.2
+SERVICE_S = 0.1
+CONTROL_PORT = 8166
+GOSSIP_PORT = 7720
+BYTES_PER_MBIT = 125_000
+
+
+class Link:
+    """The link of one host; each direction carries one segment after the other."""
+
+    def __init__(self, mbps):
+        self.bytes_per_s = mbps * BYTES_PER_MBIT
+        self.free_at = {"up": 0.0, "down": 0.0}
+
+    def queue_s(self, direction, now):
+        return max(0.0, self.free_at[direction] - now)
+
+    def carry(self, direction, size, now):
+        """Return when the last of ``size`` bytes has passed."""
+        start = max(now, self.free_at[direction])
+        self.free_at[direction] = start + size / self.bytes_per_s
+        return self.free_at[direction]
+
+
+class TimerSelector(selectors.DefaultSelector):
+    """Advances the time of its loop instead of waiting."""
+
+    loop = None
+
+    def select(self, timeout=None):
+        assert timeout is not None, "no timer is set and nothing can happen"
+        self.loop.now += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop with virtual time and an in-memory network."""
+
+    def __init__(self, seed=1):
+        self.now = 0.0
+        selector = TimerSelector()
+        selector.loop = self
+        super().__init__(selector)
+        self.links = {}
+        self.servers = {}
+        self.endpoints = {}
+        # Hosts that neither get nor send anything.
+        self.silent = set()
+        self.datagram_loss = 0.0
+        self.rng = random.Random(seed)
+        self.lost_datagrams = 0
+
+    def time(self):
+        return self.now
+
+    async def create_server(self, factory, host=None, port=None, **others):
+        self.servers[host, port] = factory
+        return SimpleNamespace(
+            close=lambda: self.servers.pop((host, port), None),
+            sockets=(),
+            _start_serving=lambda: None,
+        )
+
+    async def create_connection(self, factory, host=None, port=None, **others):
+        source = CURRENT_HOST.get()
+        await asyncio.sleep(2 * LATENCY_S)
+        if host in self.silent or source in self.silent:
+            await asyncio.sleep(60.0)
+        if (host, port) not in self.servers:
+            raise ConnectionRefusedError(f"{host}:{port}")
+        protocols = factory(), self.servers[host, port]()
+        ends = StreamEnd(self, source), StreamEnd(self, host)
+        for end, other, protocol in zip(ends, ends[::-1], protocols, strict=True):
+            end.other, end.protocol = other, protocol
+        for end in ends:
+            end.protocol.connection_made(end)
+        return ends[0], protocols[0]
+
+    async def create_datagram_endpoint(self, factory, local_addr=None, **others):
+        protocol = factory()
+        self.endpoints[local_addr] = protocol
+        transport = DatagramEnd(self, local_addr)
+        protocol.connection_made(transport)
+        return transport, protocol
+
+    def send_datagram(self, data, source, target):
+        up = self.links[source[0]]
+        is_full = up.queue_s("up", self.now) > MAX_QUEUE_S
+        if is_full or self.rng.random() < self.datagram_loss:
+            self.lost_datagrams += 1
+            return
+        if source[0] in self.silent or target[0] in self.silent:
+            return
+        sent_at = up.carry("up", len(data) + 28, self.now)
+        self.call_at(sent_at + LATENCY_S, self.arrive_datagram, data, source, target)
+
+    def arrive_datagram(self, data, source, target):
+        down = self.links[target[0]]
+        if down.queue_s("down", self.now) > MAX_QUEUE_S:
+            self.lost_datagrams += 1
+            return
+        arrived_at = down.carry("down", len(data) + 28, self.now)
+        self.call_at(arrived_at, self.deliver_datagram, data, source, target)
+
+    def deliver_datagram(self, data, source, target):
+        protocol = self.endpoints.get(target)
+        if protocol is not None:
+            CURRENT_HOST.set(target[0])
+            protocol.datagram_received(data, source)
+
+
+class DatagramEnd(asyncio.DatagramTransport):
+    """The socket of one host for datagrams."""
+
+    def __init__(self, loop, address):
+        super().__init__()
+        self.loop = loop
+        self.address = address
+
+    def sendto(self, data, addr=None):
+        self.loop.send_datagram(data, self.address, addr)
+
+    def close(self):
+        self.loop.endpoints.pop(self.address, None)
+
+
+class StreamEnd(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, loop, address):
+        super().__init__()
+        self.loop = loop
+        self.address = address
+        self.other = None
+        self.protocol = None
+        self.buffer = bytearray()
+        self.under_way = 0
+        self.is_closing_now = False
+        self.is_ended = False
+        self.is_paused = False
+
+    def write(self, data):
+        self.buffer += data
+        if len(self.buffer) > WRITE_BUFFER_BYTES and not self.is_paused:
+            self.is_paused = True
+            self.protocol.pause_writing()
+        self.send_segments()
+
+    def send_segments(self):
+        loop = self.loop
+        while self.buffer and self.under_way < WINDOW_BYTES:
+            segment = bytes(self.buffer[:SEGMENT_BYTES])
+            del self.buffer[:SEGMENT_BYTES]
+            self.under_way += len(segment)
+            sent_at = loop.links[self.address].carry("up", len(segment), loop.now)
+            loop.call_at(sent_at + LATENCY_S, self.arrive, segment)
+        if self.is_paused and len(self.buffer) <= WRITE_BUFFER_BYTES // 4:
+            self.is_paused = False
+            self.protocol.resume_writing()
+        if self.is_closing_now and not self.buffer and not self.under_way:
+            self.other.end()
+
+    def arrive(self, segment):
+        loop = self.loop
+        link = loop.links[self.other.address]
+        arrived_at = link.carry("down", len(segment), loop.now)
+        loop.call_at(arrived_at, self.deliver, segment)
+
+    def deliver(self, segment):
+        self.under_way -= len(segment)
+        if not self.other.is_ended:
+            self.other.protocol.data_received(segment)
+        self.send_segments()
+
+    def close(self):
+        if self.is_closing_now:
+            return
+        self.is_closing_now = True
+        self.loop.call_soon(self.send_segments)
+        self.loop.call_soon(self.end, None)
+
+    def abort(self):
+        self.buffer.clear()
+        self.close()
+
+    def end(self, error=None):
+        """Tell the protocol that the connection is closed."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        if not self.is_closing_now:
+            self.protocol.eof_received()
+        self.protocol.connection_lost(error)
+
+    def is_closing(self):
+        return self.is_closing_now
+
+    def get_extra_info(self, name, default=None):
+        return default
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+# Address of the host whose task is running.
+CURRENT_HOST = ContextVar("host address")
+
+
+class VirtualStore:
+    """The platform's store as a host calls it; its own link is wide."""
+
+    def __init__(self, loop, shared, address):
+        self.loop = loop
+        self.shared = shared
+        self.address = address
+        self.lease = 0
+
+    async def answer(self, items):
+        """Let the items pass the link of the host, in base64."""
+        size = 200 + sum(len(item.value or b"") * 4 // 3 + 150 for item in items)
+        link = self.loop.links[self.address]
+        await asyncio.sleep(0.004)
+        while size > 0:
+            passed_at = link.carry("down", min(size, SEGMENT_BYTES), self.loop.now)
+            size -= SEGMENT_BYTES
+            await asyncio.sleep(passed_at - self.loop.now)
+        return ItemPage(list(items), self.shared.revision)
+
+    async def read_prefix(self, prefix):
+        self.shared.calls += 1
+        items = self.shared.items.values()
+        return await self.answer([x for x in items if x.key.startswith(prefix)])
+
+    async def watch(self, prefix, after, wait_s):
+        self.shared.calls += 1
+        ends_at = self.loop.now + wait_s
+        while True:
+            news = [x for x in self.shared.history if x.revision > after]
+            if news or self.loop.now >= ends_at:
+                return await self.answer(news)
+            await asyncio.sleep(0.01)
+
+    async def create_lease(self, ttl_s):
+        return 1
+
+    async def renew_lease(self, lease):
+        return None
+
+    async def write(self, key, value, lease):
+        return self.shared.put(key, value)
+
+
+class SharedStore:
+    """What the store holds, for all hosts."""
+
+    def __init__(self):
+        self.revision = 5
+        self.items = {}
+        self.history = []
+        self.calls = 0
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = StoreItem(key, self.revision, value)
+        self.history.append(self.items[key])
+        return self.revision
+
+
+class VirtualPool:
+    """Targets that answer after a while, or refuse to run a share of the requests."""
+
+    def __init__(self, loop, fleet):
+        self.loop = loop
+        self.fleet = fleet
+
+    async def exchange(self, target, request, first_byte_s, between_bytes_s):
+        await asyncio.sleep(LATENCY_S)
+        self.fleet.arrivals.append((request.request_id, self.loop.now))
+        if self.loop.rng.random() < self.fleet.refused_share:
+            return TargetAnswer(503, [], b"", not_started=True)
+        await asyncio.sleep(SERVICE_S)
+        return TargetAnswer(200, [], b"x")
+
+    def has_idle(self, target_id):
+        return True
+
+    def set_connection_limit(self, target_id, limit):
+        pass
+
+    def close_target(self, target_id):
+        pass
+
+
+class VirtualFleet:
+    """Hosts with everything but the path of requests.
+
+    Parameters
+    ----------
+    link_mbps : list of float
+        The link of each host of a failure domain.
+    domains : int
+    """
+
+    def __init__(self, link_mbps, domains, configuration, targets=0, seed=1):
+        self.loop = VirtualLoop(seed)
+        self.shared = SharedStore()
+        self.shared.put("op/config", orjson.dumps(configuration))
+        for number in range(targets):
+            self.shared.put(f"servers/i-{number:08x}", target_entry(number))
+        self.hosts = {}
+        # Request and time of each arrival at a target.
+        self.arrivals = []
+        self.refused_share = 0.0
+        # When each host had each version in force.
+        self.in_force = {}
+        for domain in range(domains):
+            for number, mbps in enumerate(link_mbps):
+                self.add_host(domain, number, mbps)
+
+    def add_host(self, domain, number, mbps):
+        address = f"10.{domain}.0.{number + 1}"
+        self.loop.links[address] = Link(mbps)
+        settings = host_settings(f"edge-{domain}-{number}", address, domain, mbps)
+        loop = self.loop
+        clock = SimpleNamespace(now=loop.time)
+        pool = VirtualPool(loop, self)
+        view = FleetView(settings, documents, clock, pool)
+        gossip = GossipTask(view, None, clock)
+        store = VirtualStore(loop, self.shared, address)
+        follower = StoreFollower(
+            view, store, gossip, documents, clock, random.Random(number)
+        )
+        host = SimpleNamespace(
+            view=view,
+            gossip=gossip,
+            follower=follower,
+            copies=CopyServer(view),
+            settings=settings,
+            clock=clock,
+            pool=pool,
+        )
+        times = self.in_force[settings.host_id] = {}
+        view.on_configuration.append(
+            lambda found: times.setdefault(found.version, loop.now)
+        )
+        self.hosts[settings.host_id] = host
+
+    def run(self, scenario):
+        """Run the hosts and a coroutine until it ends; return its result."""
+        asyncio.set_event_loop(None)
+        try:
+            return self.loop.run_until_complete(self.run_hosts(scenario))
+        finally:
+            self.loop.close()
+
+    async def run_hosts(self, scenario):
+        works = []
+        for host in self.hosts.values():
+            works.append(asyncio.ensure_future(self.run_host(host)))
+        try:
+            return await scenario
+        finally:
+            for work in works:
+                work.cancel()
+            await asyncio.gather(*works, return_exceptions=True)
+            for host in self.hosts.values():
+                host.gossip.close()
+                host.copies.close()
+
+    async def run_host(self, host):
+        CURRENT_HOST.set(host.settings.address)
+        await host.gossip.start()
+        await host.copies.start()
+        await asyncio.gather(
+            host.gossip.run(), host.follower.run(), host.follower.keep_registered()
+        )
+
+    def lateness(self, version, sent_at):
+        """Return the seconds until each host had a version in force, sorted."""
+        found = []
+        for times in self.in_force.values():
+            reached = [at for known, at in times.items() if known >= version]
+            found.append(min(reached, default=float("inf")) - sent_at)
+        return sorted(found)
+
+
+def host_settings(host_id, address, domain, mbps):
+    fields = {
+        "host_id": host_id,
+        "address": address,
+        "failure_domain": f"d{domain}",
+        "region": "r",
+        "caller_port": 1,
+        "readiness_port": 2,
+        "control_port": CONTROL_PORT,
+        "gossip_port": GOSSIP_PORT,
+        "seeds": (),
+        "store_address": "10.200.0.1:1",
+        "min_lease_s": 1.0,
+        "retry_ratio": 0.2,
+        "retry_allowance": 50.0,
+        "retry_window_s": 10.0,
+        "stop_grace_s": 6.0,
+        "link_mbps": mbps,
+    }
+    known = HostSettings.__dataclass_fields__
+    return HostSettings(**{name: x for name, x in fields.items() if name in known})
+
+
+def target_entry(number):
+    return orjson.dumps(
+        {
+            "address": f"10.9.{number // 200}.{number % 200 + 1}:8080",
+            "info": {"service": "pedidos", "version": "v1", "zone": "d0", "slots": 2},
+            "status": {"state": "ready", "seqNo": 4, "coldRemainingMs": 0},
+        }
+    )
