Send large values between hosts as patches, and give up copies only when they stall

Callers met routes of an older version, or 404, for up to 15 s after a change, and requests reached targets that had left: each change of the configuration, however small, was fetched whole by every host from the hub of its domain. 340 KB for 28 hosts are 15 s of a link of 5 Mbit/s; each copy was cut off after 0.8 s and begun anew, so the link carried bytes that nobody could use, and all later changes waited behind them.

A host now keeps some older versions of a large value; what it sends is the compressed difference (zstd with the older value as dictionary) to the one that the receiver has: 48 bytes for a changed time limit among 1,200 routes, so small changes fit in the datagram again, and 16 KB for the routes themselves. Copies as a whole are compressed. A transfer ends when it stalls. Hosts of the former version get and send plain items. A host that knows of a revision for 0.6 s and could not get it asks the store.

Cancelled transfers at a stop no longer write tracebacks to the log.

--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -648,10 +648,13 @@
 
     async def fetch():
         place = SimpleNamespace(address="127.0.0.1", control_port=PORTS.next())
-        server = CopyServer(SimpleNamespace(settings=place, replica=replica))
+        clock = SystemClock()
+        server = CopyServer(SimpleNamespace(settings=place, replica=replica), clock)
         await server.start()
         try:
-            return await fetch_copy(place.address, place.control_port, "h2", 0)
+            return await fetch_copy(
+                place.address, place.control_port, "h2", StoreReplica(), clock
+            )
         finally:
             server.close()
 
--- a/features/steps/thin_links_steps.py
+++ b/features/steps/thin_links_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import random
 from types import SimpleNamespace
 
@@ -8,12 +9,15 @@
 from features.steps.host_sends_steps import NO_CRASHES
 from features.support.platform_fleet import ROUTES, configuration, route
 from features.support.thin_links import VirtualFleet
+from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.selection import Selector
+from oleanderroute.errors import StoreUnavailable
 from oleanderroute.host.exchange import Exchange
 from oleanderroute.host.findings import FindingReporter
 from oleanderroute.host.forwarder import RequestForwarder
 from oleanderroute.host.model import Destination, HostRoute, Repeatability
 from oleanderroute.host.target_sender import TargetSender
+from oleanderroute.platform.kv import KvClient
 
 RATIO, ALLOWANCE, WINDOW_S = 0.2, 50.0, 10.0
 SETTLE_S = 4.0
@@ -81,6 +85,80 @@
     assert not late, late
 
 
+@when(
+    "thin links: no host serves copies, and the configuration grows by {count:d} routes"
+)
+def step_no_copies(context, count):
+    fleet = context.fleet
+    rng = random.Random(7)
+    routes = list(ROUTES)
+    for _ in range(count):
+        name = f"r-{random_name(rng)}"
+        routes.append(route(name, "safe", f"/{random_name(rng)}/"))
+
+    async def scenario():
+        await asyncio.sleep(SETTLE_S)
+        fleet.loop.servers.clear()
+        calls_before = fleet.shared.calls
+        fleet.shared.put("op/config", orjson.dumps(configuration(2, routes)))
+        context.sent_at = {2: fleet.loop.time()}
+        await asyncio.sleep(3.0)
+        context.calls = fleet.shared.calls - calls_before
+
+    fleet.run(scenario())
+
+
+@then("thin links: the hosts have made at most {most:d} calls of the store each for it")
+def step_calls(context, most):
+    assert context.calls <= most * len(context.fleet.hosts), context.calls
+
+
+STORE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+PART = b" " * 70_000
+
+
+async def answer_slowly(arrives, reader, writer):
+    """Answer one call of the store as ``arrives`` says."""
+    await reader.readuntil(b"\r\n\r\n")
+    document = b'{"events": [], "atRev": 7}'
+    length = 6 * len(PART) + len(document)
+    if arrives == "never ends":
+        writer.write(STORE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        while True:
+            writer.write(b"%x\r\n%b\r\n" % (len(PART), PART))
+            await writer.drain()
+    writer.write(STORE_HEAD + b"Content-Length: %d\r\n\r\n" % length)
+    for _ in range(6):
+        writer.write(PART)
+        await writer.drain()
+        await asyncio.sleep(60.0 if arrives == "stops in the middle" else 0.3)
+    writer.write(document)
+
+
+@then("thin links: an answer of the store that {arrives} is {result}")
+def step_store_answer(context, arrives, result):
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await answer_slowly(arrives, reader, writer)
+        writer.close()
+
+    async def call_store():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = KvClient(f"127.0.0.1:{port}", lambda name: None, SystemClock())
+        try:
+            async with asyncio.timeout(6.0):
+                return (await client.watch("", 1, 0.5)).revision
+        except StoreUnavailable:
+            return "refused"
+        finally:
+            client.close()
+            server.close()
+
+    found = asyncio.run(call_store())
+    assert found == (7 if result == "read" else "refused"), found
+
+
 async def send_requests(fleet, host, per_s, until):
     """Send lookups and orders by turns, at random times, until a time."""
     forwarder = make_forwarder(host)
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -369,7 +369,7 @@
             view=view,
             gossip=gossip,
             follower=follower,
-            copies=CopyServer(view),
+            copies=CopyServer(view, clock),
             settings=settings,
             clock=clock,
             pool=pool,
--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -13,6 +13,25 @@
       | 5 and two 100 Mbit/s  |
       | 1000 Mbit/s           |
 
+  # Guards against a host that stays behind because no other host can send it a large
+  # configuration.
+  Scenario: Hosts that can't fetch from others ask the store
+    Given thin links: 2 failure domains of 12 hosts on 5 Mbit/s links
+    When thin links: no host serves copies, and the configuration grows by 2600 routes
+    Then thin links: each host has each version in force within 2.5 s
+    And thin links: the hosts have made at most 4 calls of the store each for it
+
+  # Guards against a store answer that is given up although its bytes still arrive: 1 MB
+  # takes 2 s on a link of 5 Mbit/s.
+  Scenario Outline: An answer of the store that <arrives> is <result>
+    Then thin links: an answer of the store that <arrives> is <result>
+
+    Examples:
+      | arrives             | result  |
+      | takes 1.8 s         | read    |
+      | stops in the middle | refused |
+      | never ends          | refused |
+
   # Guards against repeats beyond the limit by hosts that miss most findings of the
   # others, because these pass a link that can't carry them (BUDGET broken on both grown
   # sites).
--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -235,6 +235,15 @@
   3: optional binary value
 }
 
+// A new value of a key, as its compressed difference to an older value of that key.
+struct ItemPatch {
+  1: required string key
+  2: required i64 revision
+  // Revision of the older value; 0 if the value is only compressed.
+  3: required i64 base_revision
+  4: required binary patch
+}
+
 // Datagram between hosts. Members send theirs to the hub of their failure domain,
 // which forwards them in batches.
 struct Gossip {
@@ -257,11 +266,16 @@
   11: optional bool store_lost
   // The host that the sender, a hub, appoints to watch the store.
   12: optional string watcher
+  // Large values among the changes after changes_after.
+  13: optional list<ItemPatch> patches
 }
 
 struct CopyRequest {
   1: required string host_id
   2: required i64 after_revision
+  // Revisions of the large values that the requester has; without it, the reply holds
+  // no patches and is not packed.
+  3: optional map<string, i64> bases
 }
 
 struct CopyReply {
@@ -269,4 +283,7 @@
   // Whether items holds all keys rather than only the changed ones.
   2: required bool is_complete
   3: required list<ItemChange> items
+  4: optional list<ItemPatch> patches
+  // The compressed encoding of a CopyReply that replaces items and patches.
+  5: optional binary packed
 }
--- a/oleanderroute/decisions/replica.py
+++ b/oleanderroute/decisions/replica.py
@@ -6,6 +6,10 @@
 
 # Removals that are kept, so that a peer can be sent the changes after a revision.
 MAX_REMOVED = 2000
+# Older values that are kept of a key with a large value, so that a peer that has one of
+# them can be sent the difference.
+MAX_PREVIOUS = 4
+MIN_KEPT_BYTES = 2048
 
 
 class StoreReplica:
@@ -24,6 +28,7 @@
         self.items: dict[str, StoreItem] = {}
         self.removed = {}
         self.removal_order = deque()
+        self.previous: dict[str, deque[StoreItem]] = {}
         # Removals at or below this revision may no longer be kept.
         self.removals_known_after = 0
         self.revision = 0
@@ -33,6 +38,7 @@
         """Apply one change and return whether it changed the replica."""
         if item.revision <= self.revision_of(item.key):
             return False
+        self.keep_previous(item.key)
         if item.value is None:
             was_known = self.items.pop(item.key, None) is not None
             self.remember_removal(item)
@@ -41,6 +47,30 @@
         self.items[item.key] = item
         return True
 
+    def keep_previous(self, key):
+        """Keep the value of a key that is about to change, if it is large."""
+        item = self.items.get(key)
+        if item is None or len(item.value) < MIN_KEPT_BYTES:
+            return
+        self.previous.setdefault(key, deque(maxlen=MAX_PREVIOUS)).append(item)
+
+    def value_at(self, key, revision):
+        """Return the ``StoreItem`` of a key that has ``revision``, if it is kept."""
+        item = self.items.get(key)
+        if item is not None and item.revision == revision:
+            return item
+        for item in self.previous.get(key, ()):
+            if item.revision == revision:
+                return item
+        return None
+
+    def value_before(self, key, revision):
+        """Return the newest kept large value of a key at or before ``revision``."""
+        for item in reversed(self.previous.get(key, ())):
+            if item.revision <= revision:
+                return item
+        return None
+
     def revision_of(self, key):
         """Return the revision of the last known change of a key."""
         item = self.items.get(key)
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -112,6 +112,10 @@
     """A message is malformed, oversized, foreign or of an unknown version."""
 
 
+class PatchBaseMissing(PeerError):
+    """A patch refers to an older value that this host does not have."""
+
+
 class TargetError(OleanderError):
     """An exchange with a target failed.
 
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -494,6 +494,13 @@
         "known",
     ),
 )
+PATCH_NOT_APPLICABLE = define(
+    627,
+    "patch_not_applicable",
+    "A patch refers to a value that this host lacks; it fetches the whole change.",
+    Level.INFO,
+    ("source", "reason"),
+)
 CONFIGURATION_IN_FORCE = define(
     630,
     "configuration_in_force",
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -1,30 +1,33 @@
 """Transfer of the store's items between hosts, by TCP."""
 
 import asyncio
-import time
 
 from .. import events
-from ..errors import MessageRejected, PeerTimeout, PeerUnreachable
+from ..errors import MessageRejected, PeerError, PeerTimeout, PeerUnreachable
 from ..peer.codec import (
     decode_message,
     encode_frame,
+    encode_message,
     read_frame,
+    read_large_frame,
 )
+from ..peer.compression import compress, decompress
 from ..peer.gen.oleander_messages.ttypes import CopyReply, CopyRequest, ItemChange
-from .model import StoreItem
+from .patches import PatchMaker, large_revisions, restore_items
 
 # A value of the store has up to 1 MiB; a copy also has the entries of all targets,
 # 3 MB for 8,000 targets.
 MAX_COPY_BYTES = 16 * 1024 * 1024
-# The transfer of some hundred items takes milliseconds.
-EXCHANGE_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.5
+REQUEST_TIMEOUT_S = 0.8
+# Time without any progress after which a transfer is given up. How long a whole
+# transfer takes depends on the links and on how many hosts share them.
+STALL_TIMEOUT_S = 0.8
+TRANSFER_TIMEOUT_S = 10.0
+# Bytes that are written before the receiver has to read.
+WRITE_CHUNK_BYTES = 32 * 1024
 # Smaller copies are not logged.
-LARGE_COPY_BYTES = 64 * 1024
-
-
-def elapsed_ms(started_at):
-    """Return the milliseconds since a monotonic time in seconds."""
-    return int((time.monotonic() - started_at) * 1000)
+LARGE_COPY_BYTES = 8 * 1024
 
 
 class CopyServer:
@@ -33,10 +36,13 @@
     Parameters
     ----------
     view : FleetView
+    clock : Clock
     """
 
-    def __init__(self, view):
+    def __init__(self, view, clock):
         self.view = view
+        self.clock = clock
+        self.patch_maker = PatchMaker(view.replica)
         self.server = None
 
     async def start(self):
@@ -53,52 +59,115 @@
 
     async def serve(self, reader, writer):
         """Answer one request and close the connection."""
-        peer, after, size = "caller", 0, 0
-        started_at = time.monotonic()
+        transfer = TransferLog(self.clock)
         try:
-            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
-                request = decode_message(CopyRequest(), await read_frame(reader))
-                peer, after = request.host_id, request.after_revision
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                    request = decode_message(CopyRequest(), await read_frame(reader))
+                transfer.peer = request.host_id
+                transfer.after = request.after_revision
                 reply = self.make_reply(request)
-                frame = encode_frame(reply, MAX_COPY_BYTES)
-                size = len(frame)
-                writer.write(frame)
-                await writer.drain()
+                await self.write_frame(writer, encode_frame(reply, MAX_COPY_BYTES))
+                transfer.served(reply)
         except (OSError, EOFError, TimeoutError, MessageRejected) as error:
-            events.COPY_FAILED.log(
-                peer=peer,
-                reason=repr(error),
-                after=after,
-                bytes=size,
-                elapsed_ms=elapsed_ms(started_at),
-            )
-        else:
-            if size >= LARGE_COPY_BYTES:
-                events.COPY_SERVED.log(
-                    peer=peer,
-                    after=after,
-                    revision=reply.revision,
-                    bytes=size,
-                    elapsed_ms=elapsed_ms(started_at),
-                )
+            transfer.failed(error)
+        except asyncio.CancelledError:
+            # Not raised again: asyncio's stream callback would log the shutdown.
+            pass
         finally:
             writer.close()
 
+    async def write_frame(self, writer, frame):
+        """Write a frame as fast as the receiver reads it.
+
+        Raises
+        ------
+        TimeoutError
+            If the receiver reads nothing for ``STALL_TIMEOUT_S``.
+        OSError
+        """
+        for start in range(0, len(frame), WRITE_CHUNK_BYTES):
+            writer.write(frame[start : start + WRITE_CHUNK_BYTES])
+            async with asyncio.timeout(STALL_TIMEOUT_S):
+                await writer.drain()
+
     def make_reply(self, request):
         """Return the changes that the requester lacks, or all items."""
         replica = self.view.replica
-        changes = replica.changes_after(request.after_revision)
-        is_complete = changes is None
+        items = replica.changes_after(request.after_revision)
+        is_complete = items is None
         if is_complete:
-            changes = list(replica.items.values())
-        items = []
-        for item in changes:
-            items.append(ItemChange(item.key, item.revision, item.value))
-        return CopyReply(replica.revision, is_complete, items)
+            items = list(replica.items.values())
+        if request.bases is None:
+            # A host of an older version reads only plain items.
+            changes = [ItemChange(x.key, x.revision, x.value) for x in items]
+            return CopyReply(replica.revision, is_complete, changes)
+        bases = self.patch_maker.bases_at(request.bases)
+        changes, patches = self.patch_maker.split_changes(items, bases)
+        content = CopyReply(replica.revision, is_complete, changes, patches)
+        packed = compress(encode_message(content))
+        return CopyReply(replica.revision, is_complete, [], packed=packed)
+
+
+class TransferLog:
+    """What the log tells of one transfer.
+
+    Parameters
+    ----------
+    clock : Clock
+    peer : str
+    after : int
+        Revision from which on the changes are sent.
+    """
+
+    def __init__(self, clock, peer="caller", after=0):
+        self.clock = clock
+        self.peer = peer
+        self.after = after
+        self.started_at = clock.now()
+
+    def elapsed_ms(self):
+        """Return the milliseconds since the start of the transfer."""
+        return int((self.clock.now() - self.started_at) * 1000)
+
+    def served(self, reply):
+        """Log a large copy that was sent."""
+        size = len(reply.packed or b"")
+        if size < LARGE_COPY_BYTES:
+            return
+        events.COPY_SERVED.log(
+            peer=self.peer,
+            after=self.after,
+            revision=reply.revision,
+            bytes=size,
+            elapsed_ms=self.elapsed_ms(),
+        )
+
+    def fetched(self, reply, size):
+        """Log a large copy that was received."""
+        if size < LARGE_COPY_BYTES:
+            return
+        events.COPY_FETCHED.log(
+            peer=self.peer,
+            after=self.after,
+            revision=reply.revision,
+            bytes=size,
+            elapsed_ms=self.elapsed_ms(),
+        )
+
+    def failed(self, error, received=0):
+        """Log a transfer that failed."""
+        events.COPY_FAILED.log(
+            peer=self.peer,
+            reason=repr(error),
+            after=self.after,
+            bytes=received,
+            elapsed_ms=self.elapsed_ms(),
+        )
 
 
-async def fetch_copy(address, port, host_id, after_revision):
-    """Fetch from another host the items that changed after a revision.
+async def fetch_copy(address, port, host_id, replica, clock):
+    """Fetch from another host the items that changed after a replica's revision.
 
     Returns
     -------
@@ -107,33 +176,53 @@
         Whether ``items`` are all items of the store.
     items : list of StoreItem
 
+    Raises
+    ------
+    PeerTimeout, PeerUnreachable, MessageRejected, PatchBaseMissing
+    """
+    after = replica.revision
+    transfer = TransferLog(clock, f"{address}:{port}", after)
+    request = CopyRequest(host_id, after, large_revisions(replica))
+    try:
+        body = await exchange_frames(address, port, encode_frame(request))
+        reply = unpack_reply(decode_message(CopyReply(), body))
+        items = restore_items(replica, reply.items, reply.patches)
+    except PeerError as error:
+        transfer.failed(error)
+        raise
+    transfer.fetched(reply, len(body))
+    return reply.revision, reply.is_complete, items
+
+
+async def exchange_frames(address, port, frame):
+    """Send one frame to a host and return the body of its reply.
+
     Raises
     ------
     PeerTimeout, PeerUnreachable, MessageRejected
     """
-    started_at = time.monotonic()
     try:
-        async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(address, port)
+        async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(address, port)
             try:
-                writer.write(encode_frame(CopyRequest(host_id, after_revision)))
-                body = await read_frame(reader, MAX_COPY_BYTES)
-                reply = decode_message(CopyReply(), body)
+                writer.write(frame)
+                return await read_large_frame(reader, MAX_COPY_BYTES, STALL_TIMEOUT_S)
             finally:
                 writer.close()
     except TimeoutError as error:
         raise PeerTimeout(f"{address}:{port}") from error
     except (OSError, EOFError) as error:
         raise PeerUnreachable(f"{address}:{port}: {error!r}") from error
-    if len(body) >= LARGE_COPY_BYTES:
-        events.COPY_FETCHED.log(
-            peer=f"{address}:{port}",
-            after=after_revision,
-            revision=reply.revision,
-            bytes=len(body),
-            elapsed_ms=elapsed_ms(started_at),
-        )
-    items = []
-    for change in reply.items:
-        items.append(StoreItem(change.key, change.revision, change.value))
-    return reply.revision, reply.is_complete, items
+
+
+def unpack_reply(reply):
+    """Return the ``CopyReply`` inside a packed one; others as they are.
+
+    Raises
+    ------
+    MessageRejected
+    """
+    if reply.packed is None:
+        return reply
+    return decode_message(CopyReply(), decompress(reply.packed, b"", MAX_COPY_BYTES))
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -17,6 +17,9 @@
 # A healthy watcher confirms every 1.2 s.
 CONFIRMATION_TIMEOUT_S = 1.5
 ROLE_CHECK_INTERVAL_S = 0.1
+# A host that knows of a newer revision for this time, but could not get it from other
+# hosts, asks the store.
+BEHIND_TIMEOUT_S = 0.6
 # Bounds of the random pause after a failed call, so that hosts do not retry together.
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 0.5
@@ -59,6 +62,10 @@
         self.store_failing = False
         self.is_watching = False
         self.fetches = set()
+        # The newest revision that another host has announced, and since when this
+        # host has been behind.
+        self.announced_revision = 0
+        self.behind_since = 0.0
         self.lease = None
         gossip.on_newer_revision = self.newer_revision_seen
 
@@ -143,7 +150,13 @@
     def must_watch(self, now):
         """Tell whether this host has to watch the store itself."""
         is_appointed = self.gossip.membership.watcher == self.settings.host_id
-        return is_appointed or not self.has_live_relay(now)
+        return is_appointed or not self.has_live_relay(now) or self.is_behind(now)
+
+    def is_behind(self, now):
+        """Tell whether this host lacks an announced revision for too long."""
+        if self.announced_revision <= self.view.replica.revision:
+            return False
+        return now - self.behind_since > BEHIND_TIMEOUT_S
 
     def has_live_relay(self, now):
         """Tell whether other hosts relay the changes of the store."""
@@ -203,6 +216,9 @@
 
     def newer_revision_seen(self, host_id, revision):
         """Fetch the changes that another host has and this host lacks."""
+        if self.announced_revision <= self.view.replica.revision:
+            self.behind_since = self.clock.now()
+        self.announced_revision = max(self.announced_revision, revision)
         host = self.view.hosts.get(host_id)
         if self.fetches or host is None:
             return
@@ -219,18 +235,12 @@
     async def fetch_from(self, address, port):
         """Fetch the changes from another host; return whether it answered."""
         replica = self.view.replica
-        started_at = self.clock.now()
         try:
             revision, is_complete, items = await fetch_copy(
-                address, port, self.settings.host_id, replica.revision
-            )
-        except PeerError as error:
-            events.COPY_FAILED.log(
-                peer=f"{address}:{port}",
-                reason=repr(error),
-                after=replica.revision,
-                elapsed_ms=int((self.clock.now() - started_at) * 1000),
+                address, port, self.settings.host_id, replica, self.clock
             )
+        except PeerError:
+            # ``fetch_copy`` has logged the reason.
             return False
         if revision <= replica.revision:
             return True
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -9,11 +9,11 @@
 
 from .. import events
 from ..decisions.health import Finding
-from ..errors import MessageRejected
+from ..errors import MessageRejected, PatchBaseMissing
 from ..peer.codec import decode_message, encode_message
-from ..peer.gen.oleander_messages.ttypes import Gossip, ItemChange, Observation
+from ..peer.gen.oleander_messages.ttypes import Gossip, Observation
 from .membership import GossipMembership
-from .model import StoreItem
+from .patches import PatchMaker, restore_items
 
 # Delays of batches of findings, at the host that made them and at a hub. Urgent
 # findings are sent without a delay.
@@ -99,6 +99,7 @@
         # What a hub has to forward inside its domain, and to the hubs of other domains.
         self.domain_outbox = Outbox()
         self.hub_outbox = Outbox()
+        self.patch_maker = PatchMaker(view.replica)
         self.timers = {}
         self.sent_at = 0.0
         self.live_list_sent_at = 0.0
@@ -260,14 +261,19 @@
         Of changes that are too large for a datagram only the revision is sent; the
         other hosts fetch them.
         """
+        newest = {item.key: item for item in items}.values()
+        changes, patches = self.patch_maker.split_changes(
+            newest, self.patch_maker.bases_before(newest, after)
+        )
         size = 0
-        changes = []
-        for item in items:
-            size += len(item.key) + len(item.value or b"") + 12
-            changes.append(ItemChange(item.key, item.revision, item.value))
+        for change in changes:
+            size += len(change.key) + len(change.value or b"") + 12
+        for patch in patches:
+            size += len(patch.key) + len(patch.patch) + 16
         message = self.make_message(Outbox(), to_hub=not self.membership.is_hub)
         if 0 < size <= MAX_CHANGE_BYTES:
-            message.changes = changes
+            message.changes = changes or None
+            message.patches = patches or None
             message.changes_after = after
         if self.membership.is_hub:
             members = self.membership.hosts_of(self.settings.failure_domain).values()
@@ -394,16 +400,29 @@
         replica = self.view.replica
         if message.revision <= replica.revision:
             return
-        after = message.changes_after
-        if not message.changes or after is None or after > replica.revision:
+        items = self.decode_changes(message)
+        if items is None:
             if self.on_newer_revision is not None:
                 self.on_newer_revision(message.host_id, message.revision)
             return
-        items = []
-        for change in message.changes:
-            items.append(StoreItem(change.key, change.revision, change.value))
+        after = message.changes_after
         before = replica.revision
         self.view.apply(items)
         replica.advance(message.revision)
         if self.membership.is_hub:
             self.announce_changes(items, max(before, after))
+
+    def decode_changes(self, message):
+        """Return the items of a message, or None if they do not suffice."""
+        after = message.changes_after
+        if after is None or after > self.view.replica.revision:
+            return None
+        if not message.changes and not message.patches:
+            return None
+        try:
+            return restore_items(self.view.replica, message.changes, message.patches)
+        except PatchBaseMissing as error:
+            events.PATCH_NOT_APPLICABLE.log(source=message.host_id, reason=str(error))
+        except MessageRejected as error:
+            events.GOSSIP_REJECTED.log(source=message.host_id, reason=str(error))
+        return None
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -88,7 +88,7 @@
         self.follower = StoreFollower(
             self.view, self.store, self.gossip, documents, self.clock, self.rng
         )
-        self.copies = CopyServer(self.view)
+        self.copies = CopyServer(self.view, self.clock)
         self.summary = SummaryLog(self.view, self.gossip, self.metrics)
         self.build_request_path()
 
--- /dev/null
+++ b/oleanderroute/host/patches.py
@@ -0,0 +1,114 @@
+"""Changes of the store in the form in which they are sent to other hosts.
+
+A configuration of a large deployment has some hundred KB, and most changes touch a few
+bytes of it. A large value is therefore sent as a patch of one that the receiver has.
+"""
+
+from ..errors import PatchBaseMissing
+from ..peer.compression import compress, decompress
+from ..peer.gen.oleander_messages.ttypes import ItemChange, ItemPatch
+from .model import StoreItem
+
+# Smaller values are sent as they are.
+MIN_PATCHED_BYTES = 2048
+# A value of the store has at most 1 MiB.
+MAX_VALUE_BYTES = 2 * 1024 * 1024
+# Patches that are kept, since many hosts ask for the same ones.
+MAX_CACHED_PATCHES = 8
+
+
+class PatchMaker:
+    """Makes patches of the large values of a replica.
+
+    Parameters
+    ----------
+    replica : StoreReplica
+    """
+
+    def __init__(self, replica):
+        self.replica = replica
+        self.cache = {}
+
+    def split_changes(self, items, bases):
+        """Return the ``ItemChange`` and ``ItemPatch`` lists for some items.
+
+        Parameters
+        ----------
+        items : iterable of StoreItem
+        bases : dict of str to StoreItem
+            Large values that the receiver has.
+        """
+        changes = []
+        patches = []
+        for item in items:
+            if item.value is None or len(item.value) < MIN_PATCHED_BYTES:
+                changes.append(ItemChange(item.key, item.revision, item.value))
+                continue
+            patches.append(self.make_patch(item, bases.get(item.key)))
+        return changes, patches
+
+    def make_patch(self, item, base):
+        """Return the patch of ``item``, to ``base`` or, if it is None, to nothing."""
+        base_revision = 0 if base is None else base.revision
+        cached = (item.key, item.revision, base_revision)
+        content = self.cache.get(cached)
+        if content is None:
+            content = compress(item.value, b"" if base is None else base.value)
+            while len(self.cache) >= MAX_CACHED_PATCHES:
+                del self.cache[next(iter(self.cache))]
+            self.cache[cached] = content
+        return ItemPatch(item.key, item.revision, base_revision, content)
+
+    def bases_before(self, items, revision):
+        """Return the large values that a replica at ``revision`` has of some keys."""
+        bases = {}
+        for item in items:
+            base = self.replica.value_before(item.key, revision)
+            if base is not None:
+                bases[item.key] = base
+        return bases
+
+    def bases_at(self, revisions):
+        """Return the kept values that have the given revisions, by key."""
+        bases = {}
+        for key, revision in revisions.items():
+            base = self.replica.value_at(key, revision)
+            if base is not None:
+                bases[key] = base
+        return bases
+
+
+def large_revisions(replica):
+    """Return the revision of each large value of a replica, by key."""
+    revisions = {}
+    for item in replica.items.values():
+        if len(item.value) >= MIN_PATCHED_BYTES:
+            revisions[item.key] = item.revision
+    return revisions
+
+
+def restore_items(replica, changes, patches):
+    """Return the ``StoreItem`` list of received changes and patches.
+
+    Raises
+    ------
+    PatchBaseMissing
+        If this host does not have the value that a patch refers to.
+    MessageRejected
+        If a patch is damaged.
+    """
+    items = []
+    for change in changes or ():
+        items.append(StoreItem(change.key, change.revision, change.value))
+    for patch in patches or ():
+        if patch.revision <= replica.revision_of(patch.key):
+            continue
+        base = b""
+        if patch.base_revision:
+            known = replica.value_at(patch.key, patch.base_revision)
+            if known is None:
+                raise PatchBaseMissing(f"{patch.key} at {patch.base_revision}")
+            base = known.value
+        value = decompress(patch.patch, base, MAX_VALUE_BYTES)
+        items.append(StoreItem(patch.key, patch.revision, value))
+    return items
--- a/oleanderroute/peer/codec.py
+++ b/oleanderroute/peer/codec.py
@@ -1,5 +1,6 @@
 """Encoding of messages between hosts: framed thrift compact protocol."""
 
+import asyncio
 import struct
 from dataclasses import dataclass
 
@@ -103,6 +104,36 @@
     return await reader.readexactly(length)
 
 
+async def read_large_frame(reader, limit, stall_timeout_s):
+    """Return the body of the next frame, which may take long on a slow link.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum length of a frame body in bytes.
+    stall_timeout_s : float
+        Seconds without any byte after which the frame is given up.
+
+    Raises
+    ------
+    MessageRejected
+        If the announced length is above ``limit``.
+    TimeoutError, asyncio.IncompleteReadError
+    """
+    async with asyncio.timeout(stall_timeout_s):
+        (length,) = FRAME_LENGTH.unpack(await reader.readexactly(FRAME_LENGTH.size))
+    if length > limit:
+        raise MessageRejected(f"oversized frame: {length} bytes")
+    body = bytearray()
+    while len(body) < length:
+        async with asyncio.timeout(stall_timeout_s):
+            received = await reader.read(length - len(body))
+        if not received:
+            raise asyncio.IncompleteReadError(bytes(body), length)
+        body += received
+    return bytes(body)
+
+
 def encode_message(message):
     """Return ``message`` without a length prefix, as sent in a datagram."""
     transport = TMemoryBuffer()
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3488,6 +3488,118 @@
         return not (self == other)
 
 
+class ItemPatch(object):
+    """
+    Attributes:
+     - key
+     - revision
+     - base_revision
+     - patch
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+        'base_revision',
+        'patch',
+    )
+
+
+    def __init__(self, key=None, revision=None, base_revision=None, patch=None,):
+        self.key = key
+        self.revision = revision
+        self.base_revision = base_revision
+        self.patch = patch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.base_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.patch = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ItemPatch')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.base_revision is not None:
+            oprot.writeFieldBegin('base_revision', TType.I64, 3)
+            oprot.writeI64(self.base_revision)
+            oprot.writeFieldEnd()
+        if self.patch is not None:
+            oprot.writeFieldBegin('patch', TType.STRING, 4)
+            oprot.writeBinary(self.patch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.base_revision is None:
+            raise TProtocolException(message='Required field base_revision is unset!')
+        if self.patch is None:
+            raise TProtocolException(message='Required field patch is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
@@ -3503,6 +3615,7 @@
      - heard
      - store_lost
      - watcher
+     - patches
 
     """
 
@@ -3519,10 +3632,11 @@
         'heard',
         'store_lost',
         'watcher',
+        'patches',
     )
 
 
-    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None,):
+    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None,):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.to_hub = to_hub
@@ -3535,6 +3649,7 @@
         self.heard = heard
         self.store_lost = store_lost
         self.watcher = watcher
+        self.patches = patches
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3628,6 +3743,17 @@
                     self.watcher = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.patches = []
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i138 in range(_size137):
+                        _elem139 = ItemPatch()
+                        _elem139.read(iprot)
+                        self.patches.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3698,6 +3824,13 @@
             oprot.writeFieldBegin('watcher', TType.STRING, 12)
             oprot.writeString(self.watcher.encode('utf-8') if sys.version_info[0] == 2 else self.watcher)
             oprot.writeFieldEnd()
+        if self.patches is not None:
+            oprot.writeFieldBegin('patches', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.patches))
+            for iter141 in self.patches:
+                iter141.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3736,18 +3869,21 @@
     Attributes:
      - host_id
      - after_revision
+     - bases
 
     """
 
     __slots__ = (
         'host_id',
         'after_revision',
+        'bases',
     )
 
 
-    def __init__(self, host_id=None, after_revision=None,):
+    def __init__(self, host_id=None, after_revision=None, bases=None,):
         self.host_id = host_id
         self.after_revision = after_revision
+        self.bases = bases
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3768,6 +3904,17 @@
                     self.after_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.bases = {}
+                    (_ktype143, _vtype144, _size142) = iprot.readMapBegin()
+                    for _i145 in range(_size142):
+                        _key146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val147 = iprot.readI64()
+                        self.bases[_key146] = _val147
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3786,6 +3933,14 @@
             oprot.writeFieldBegin('after_revision', TType.I64, 2)
             oprot.writeI64(self.after_revision)
             oprot.writeFieldEnd()
+        if self.bases is not None:
+            oprot.writeFieldBegin('bases', TType.MAP, 3)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.bases))
+            for kiter148, viter149 in self.bases.items():
+                oprot.writeString(kiter148.encode('utf-8') if sys.version_info[0] == 2 else kiter148)
+                oprot.writeI64(viter149)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3821,6 +3976,8 @@
      - revision
      - is_complete
      - items
+     - patches
+     - packed
 
     """
 
@@ -3828,13 +3985,17 @@
         'revision',
         'is_complete',
         'items',
+        'patches',
+        'packed',
     )
 
 
-    def __init__(self, revision=None, is_complete=None, items=None,):
+    def __init__(self, revision=None, is_complete=None, items=None, patches=None, packed=None,):
         self.revision = revision
         self.is_complete = is_complete
         self.items = items
+        self.patches = patches
+        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3866,6 +4027,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.patches = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i151 in range(_size150):
+                        _elem152 = ItemPatch()
+                        _elem152.read(iprot)
+                        self.patches.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.packed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3891,6 +4068,17 @@
                 iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.patches is not None:
+            oprot.writeFieldBegin('patches', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.patches))
+            for iter154 in self.patches:
+                iter154.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRING, 5)
+            oprot.writeBinary(self.packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4164,6 +4352,14 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
 )
+all_structs.append(ItemPatch)
+ItemPatch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'base_revision', None, None, ),  # 3
+    (4, TType.STRING, 'patch', 'BINARY', None, ),  # 4
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
@@ -4179,12 +4375,14 @@
     (10, TType.LIST, 'heard', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'store_lost', None, None, ),  # 11
     (12, TType.STRING, 'watcher', 'UTF8', None, ),  # 12
+    (13, TType.LIST, 'patches', (TType.STRUCT, [ItemPatch, None], False), None, ),  # 13
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'after_revision', None, None, ),  # 2
+    (3, TType.MAP, 'bases', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 3
 )
 all_structs.append(CopyReply)
 CopyReply.thrift_spec = (
@@ -4192,6 +4390,8 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.BOOL, 'is_complete', None, None, ),  # 2
     (3, TType.LIST, 'items', (TType.STRUCT, [ItemChange, None], False), None, ),  # 3
+    (4, TType.LIST, 'patches', (TType.STRUCT, [ItemPatch, None], False), None, ),  # 4
+    (5, TType.STRING, 'packed', 'BINARY', None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
