Make hosts with fast links the hubs and watchers of their failure domain

Hosts counted a fraction of each other's sends (BUDGET) and learned late of changes (CONFIG, DRAIN). A hub forwards each finding to all hosts of its domain: at 700 requests a second about 20 Mbit/s. Hubs were chosen by hashing alone, on the grown sites always slow hosts, whose links of 5 Mbit/s were full at 440 to 540 KB/s. Nine in ten datagrams were lost, hosts took the hub for dead 0.4 s later, and the role changed several times a second.

Hosts now register their link, and hosts with at least half of the fastest link of the domain rank first as hubs and watchers.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -86,6 +86,11 @@
     And host decisions: they agree on another within 0.5 s of its silence and come back to it
     And host decisions: a host that hears nobody is its own hub in the end
 
+  # Guards against a hub whose link can't carry what it forwards, so that most findings
+  # are lost (BUDGET broken on both grown sites).
+  Scenario: host decisions: Hosts with fast links are hubs and watchers first
+    Then host decisions: among hosts of 5 and 100 Mbit/s the fast are hubs
+
   # Guards against a failure domain that hears nothing because the store refuses its
   # hub (CONFIG broken, hunt of papelitos-gw, day hunt-2fd7-11).
   Scenario Outline: host decisions: The hub appoints a watcher that the store serves
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -375,7 +375,10 @@
 HOST_IDS = [f"h{number}" for number in range(12)]
 
 
-def choose_hubs(choices, now, silent=()):
+EQUAL_LINKS = dict.fromkeys(HOST_IDS, 1000.0)
+
+
+def choose_hubs(choices, now, silent=(), links=EQUAL_LINKS):
     """Return the hubs that the hosts choose; each hears all but ``silent``."""
     found = {}
     for own_id, choice in choices.items():
@@ -383,7 +386,7 @@
             continue
         if choice.hub is not None and choice.hub not in silent:
             choice.heard(choice.hub, now)
-        found[own_id] = choice.choose(HOST_IDS, now)
+        found[own_id] = choice.choose(links, now)
     return found
 
 
@@ -413,11 +416,33 @@
     assert set(choose_hubs(context.choices, now + 0.1).values()) == {first}
 
 
+@then("host decisions: among hosts of {slow:g} and {fast:g} Mbit/s the fast are hubs")
+def step_fast_hubs(context, slow, fast):
+    links = dict.fromkeys(HOST_IDS, slow) | {"h3": fast, "h8": fast}
+    choices = {own_id: HubChoice("a", own_id) for own_id in HOST_IDS}
+    chosen = set(choose_hubs(choices, 0.0, links=links).values())
+    assert len(chosen) == 1 and chosen < {"h3", "h8"}, chosen
+    now = 0.0
+    while now < 1.0:
+        now += 0.1
+        others = choose_hubs(choices, now, silent=chosen, links=links)
+    assert set(others.values()) == {"h3", "h8"} - chosen, others
+    now = 1.0
+    while now < 2.0:
+        now += 0.1
+        rest = choose_hubs(choices, now, silent={"h3", "h8"}, links=links)
+    assert len(set(rest.values())) == 1, rest
+    lost = dict.fromkeys(HOST_IDS, False) | dict.fromkeys(chosen, True)
+    (hub,) = chosen
+    assert {appoint_watcher("a", hub, lost, links)} == set(others.values())
+
+
 @then("host decisions: a host that hears nobody is its own hub in the end")
 def step_alone(context):
     choice = HubChoice("a", "h5")
     now = 0.0
-    while choice.choose(HOST_IDS[:6], now) != "h5":
+    links = dict.fromkeys(HOST_IDS[:6], 1000.0)
+    while choice.choose(links, now) != "h5":
         now += 0.1
         assert now < 10.0
 
@@ -430,7 +455,7 @@
         listed = {}
         for number in range(hosts):
             host_id, domain = f"h{number}", f"d{number % domains}"
-            listed[host_id] = PeerHost(host_id, host_id, 1, 2, domain)
+            listed[host_id] = PeerHost(host_id, host_id, 1, 2, domain, 1000.0)
         for host_id, host in listed.items():
             self.tasks[host_id] = self.make_task(host, listed)
         self.known = {host_id: set() for host_id in listed}
@@ -438,7 +463,9 @@
     def make_task(self, host, listed):
         view = SimpleNamespace(
             settings=SimpleNamespace(
-                host_id=host.host_id, failure_domain=host.failure_domain
+                host_id=host.host_id,
+                failure_domain=host.failure_domain,
+                link_mbps=1000.0,
             ),
             hosts=listed,
             last_seen_at={},
@@ -490,7 +517,7 @@
 )
 def step_appoint(context, watcher, names=""):
     lost = {f"h{number}": f"h{number}" in names.split(",") for number in range(4)}
-    found = appoint_watcher("a", "h1", lost)
+    found = appoint_watcher("a", "h1", lost, dict.fromkeys(lost, 1000.0))
     if watcher == "another":
         assert found != "h1" and not lost[found], found
         return
--- a/oleanderroute/decisions/hubs.py
+++ b/oleanderroute/decisions/hubs.py
@@ -6,10 +6,31 @@
 # this is not chosen again for `HUB_AVOIDANCE_S`.
 HUB_TIMEOUT_S = 0.4
 HUB_AVOIDANCE_S = 2.0
+# Hosts with at least this share of the fastest link in their failure domain go first. A
+# hub sends every finding to every host of its domain, which fills a slow link.
+FAST_LINK_SHARE = 0.5
+
+
+def rank_by_link(key, links):
+    """Return the hosts by rendezvous hashing, those with fast links first.
+
+    Parameters
+    ----------
+    key : str
+    links : dict of HostId to float
+        Bandwidth of each host's link.
+    """
+    fastest = max(links.values(), default=0.0)
+    fast = []
+    slow = []
+    for host_id in rank(key, links):
+        is_fast = links[host_id] >= FAST_LINK_SHARE * fastest
+        (fast if is_fast else slow).append(host_id)
+    return fast + slow
 
 
 class HubChoice:
-    """Chooses the hub of one failure domain, by rendezvous hashing.
+    """Chooses the hub of one failure domain, among the hosts with the fastest links.
 
     Hosts may briefly disagree about the hub. Any host that receives a message for
     a hub handles it as the hub, so a disagreement costs only extra messages.
@@ -26,7 +47,7 @@
         self.own_id = own_id
         self.avoided_until = {}
         # Most findings cause a message to the hub, so the ranking is cached.
-        self.ranked_ids = frozenset()
+        self.ranked_links = {}
         self.ranked = []
         self.hub = None
         self.hub_last_seen_at = 0.0
@@ -37,22 +58,22 @@
         if host_id == self.hub:
             self.hub_last_seen_at = now
 
-    def choose(self, host_ids, now):
-        """Return the hub among ``host_ids``, or None if there is no host.
+    def choose(self, links, now):
+        """Return the hub among the hosts of ``links``, or None if there is no host.
 
         Parameters
         ----------
-        host_ids : iterable of HostId
+        links : dict of HostId to float
+            Bandwidth of the link of each host of the failure domain.
         now : float
             Monotonic seconds.
         """
         is_other = self.hub is not None and self.hub != self.own_id
         if is_other and now - self.hub_last_seen_at > HUB_TIMEOUT_S:
             self.avoided_until[self.hub] = now + HUB_AVOIDANCE_S
-        candidates = frozenset(host_ids)
-        if candidates != self.ranked_ids:
-            self.ranked_ids = candidates
-            self.ranked = rank(self.key, candidates)
+        if links != self.ranked_links:
+            self.ranked_links = links
+            self.ranked = rank_by_link(self.key, links)
         hub = self.first_usable(self.ranked, now)
         if hub != self.hub:
             self.hub = hub
@@ -69,7 +90,7 @@
         return ranked[0] if ranked else None
 
 
-def appoint_watcher(failure_domain, own_id, store_lost_by):
+def appoint_watcher(failure_domain, own_id, store_lost_by, links):
     """Return the host that watches the store for a failure domain.
 
     The hub itself watches the store unless its own store calls fail.
@@ -82,10 +103,13 @@
     lost : dict of HostId to bool
         Whether store calls of a host fail, for the hub and the hosts from which it
         receives messages.
+    links : dict of HostId to float
+        Bandwidth of the link of each of these hosts.
     """
     if not store_lost_by[own_id]:
         return own_id
     reachable = [host_id for host_id, is_lost in store_lost_by.items() if not is_lost]
     if not reachable:
         return own_id
-    return rank(f"watch/{failure_domain}", reachable)[0]
+    candidates = {host_id: links.get(host_id, 0.0) for host_id in reachable}
+    return rank_by_link(f"watch/{failure_domain}", candidates)[0]
--- a/oleanderroute/host/membership.py
+++ b/oleanderroute/host/membership.py
@@ -58,13 +58,15 @@
         own = self.settings
         now = self.clock.now()
         store_lost_by_host = {own.host_id: self.store_lost}
-        for host_id in self.hosts_of(own.failure_domain):
+        links = {own.host_id: own.link_mbps}
+        for host_id, host in self.hosts_of(own.failure_domain).items():
             if self.is_alive(host_id, now):
+                links[host_id] = host.link_mbps
                 store_lost_by_host[host_id] = self.store_lost_by_host.get(
                     host_id, False
                 )
         self.watcher = appoint_watcher(
-            own.failure_domain, own.host_id, store_lost_by_host
+            own.failure_domain, own.host_id, store_lost_by_host, links
         )
 
     def hub_of(self, failure_domain):
@@ -75,10 +77,10 @@
         choice = self.hubs.get(failure_domain)
         if choice is None:
             choice = self.hubs[failure_domain] = HubChoice(failure_domain, own_id)
-        candidates = set(hosts)
+        links = {host_id: host.link_mbps for host_id, host in hosts.items()}
         if own_id is not None:
-            candidates.add(own_id)
-        return hosts.get(choice.choose(candidates, self.clock.now()))
+            links[own_id] = own.link_mbps
+        return hosts.get(choice.choose(links, self.clock.now()))
 
     def hosts_of(self, failure_domain):
         """Return the other hosts of a failure domain by id."""
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -124,6 +124,8 @@
         TCP port that answers requests for a copy of the store's items.
     gossip_port : int
         UDP port for gossip.
+    link_mbps : float
+        Bandwidth of its link in Mbit/s; 0 if it is not known.
     """
 
     host_id: HostId
@@ -131,6 +133,7 @@
     control_port: int
     gossip_port: int
     failure_domain: FailureDomain
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +149,8 @@
         length: this share of its requests plus the allowance.
     stop_grace_s : float
         Time from the stop signal until the process is killed.
+    link_mbps : float
+        Bandwidth of the link of this host in Mbit/s; 0 if it is not known.
     """
 
     host_id: HostId
@@ -163,6 +168,7 @@
     retry_allowance: float
     retry_window_s: float
     stop_grace_s: float
+    link_mbps: float = 0.0
 
 
 @dataclass(slots=True)
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -238,6 +238,8 @@
         failure_domain=FailureDomain(
             required_field(document, "failure_domain", str, key)
         ),
+        # Hosts of an older version do not write it.
+        link_mbps=float(optional_positive_number(document, "link_mbps", 0.0, key)),
     )
 
 
@@ -249,4 +251,6 @@
         "gossip_port": settings.gossip_port,
         "failure_domain": settings.failure_domain,
     }
+    if settings.link_mbps > 0.0:
+        document["link_mbps"] = settings.link_mbps
     return HOST_PREFIX + settings.host_id, orjson.dumps(document)
