Count the sends of other hosts although some of their findings are lost

Targets got repeats of up to 1.5 times the limit (BUDGET): a host counts the sends of others by the datagram that announces each of them, and one that is lost is never made up for. The fixed part of the limit does not shrink with what is missed, so many hosts that see little allow more together.

Each process now numbers its first sends and its resends to a service, and the announcement carries the number and an id of the process: the next one that arrives counts those before it. A request also counted as a new one for each target that could not be reached, which raised the limit while targets are cut off; it counts once now.

The new unit tests fail without the change.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -24,6 +24,20 @@
       | 36    | 2      |
       | 36    | 36     |
 
+  # Guards against sends of other hosts that are never counted because their findings
+  # were lost on a full link (BUDGET broken on both grown sites).
+  Scenario Outline: host decisions: Sends whose findings <fate> are counted once
+    Then host decisions: <sent> sends whose findings <fate> are counted as <counted>
+
+    Examples:
+      | fate                                | sent | counted |
+      | all arrive                          | 50   | 50      |
+      | arrive in another order             | 50   | 50      |
+      | are lost but for each tenth         | 50   | 50      |
+      | are announced by a restarted host   | 50   | 50      |
+      | arrive after the host has restarted | 50   | 40      |
+      | are first seen in the middle        | 50   | 26      |
+
   # Guards against a replica that goes back, or that differs from the store.
   Scenario: host decisions: A replica converges whatever way its news takes
     Then host decisions: replicas fed by events, listings and copies in any order equal the store
--- a/features/host_sends.feature
+++ b/features/host_sends.feature
@@ -30,3 +30,7 @@
 
   Scenario: A request that ends one target after another is refused
     Then host sends: a request whose repeat ended a second target is refused
+
+  # Guards against a limit that grows with the targets that can't be reached.
+  Scenario: host sends: A request that is offered to several targets counts once
+    Then host sends: a request that 3 targets refuse to connect counts as 1 first send
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -21,6 +21,7 @@
 from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.replica import StoreReplica
 from oleanderroute.decisions.selection import RequestProfile, Selector, TargetView
+from oleanderroute.decisions.send_counts import RemoteSendCounts
 from oleanderroute.decisions.standing_queue import StandingQueue
 from oleanderroute.errors import DocumentError, SettingsError
 from oleanderroute.host.copies import CopyServer, fetch_copy
@@ -171,6 +172,29 @@
     assert repeats
 
 
+ANNOUNCED_SENDS = {
+    "all arrive": [(7, number) for number in range(1, 51)],
+    "arrive in another order": [
+        (7, 1),
+        *((7, 2 + (n ^ 1)) for n in range(48)),
+        (7, 50),
+    ],
+    "are lost but for each tenth": [(7, 1), *((7, n) for n in range(10, 51, 10))],
+    "are announced by a restarted host": [(7, 1), (7, 20), (8, 5), (8, 30)],
+    "arrive after the host has restarted": [(7, 1), (7, 30), (8, 10), (7, 40)],
+    "are first seen in the middle": [(7, 25), (7, 50)],
+}
+
+
+@then("host decisions: {sent:d} sends whose findings {fate} are counted as {counted:d}")
+def step_announced(context, sent, fate, counted):
+    counts = RemoteSendCounts()
+    total = 0
+    for incarnation, number in ANNOUNCED_SENDS[fate]:
+        total += counts.advance("h1", incarnation, "service", number)
+    assert total == counted, total
+
+
 # Store replica
 
 
--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -126,7 +126,9 @@
         host_count=1,
     )
     reporter = SimpleNamespace(
-        publish=lambda *findings: None, report_outcome=lambda *findings: None
+        publish=lambda *findings: None,
+        report_start=lambda *findings: None,
+        report_outcome=lambda *findings: None,
     )
     headers = SimpleNamespace(attempt_headers=lambda *parts: [])
     target_sender = TargetSender(view, pool, reporter, crashes, headers, clock)
@@ -256,3 +258,18 @@
     scenario = asyncio.run(crash_targets())
     assert len(scenario.pool.dead) == 2, scenario.pool.dead
     assert scenario.is_refused()
+
+
+@then(
+    "host sends: a request that {targets:d} targets refuse to connect counts as "
+    "{counted:d} first send"
+)
+def step_counted_once(context, targets, counted):
+    pool = ScriptedPool(["refused"] * targets + ["200"])
+    forwarder = make_sender(pool)
+    started = []
+    forwarder.target_sender.reporter.report_start = lambda *start: started.append(start)
+    answer = asyncio.run(forwarder.run(make_exchange("once")))
+    assert answer.status == 200 and len(started) == targets + 1, started
+    are_counted = [is_counted for _, _, _, is_counted in started]
+    assert are_counted.count(True) == counted, are_counted
--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -226,6 +226,10 @@
   7: required i32 send_number
   // The observing host, if it is not the sender of the datagram.
   8: optional string host_id
+  // At the start of a send: the process of the observing host, drawn at its start, and
+  // how many first sends, or resends, to the service it has begun.
+  9: optional i16 incarnation
+  10: optional i32 count
 }
 
 // A key of the platform's store; a removed key has no value.
--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -24,10 +24,11 @@
         self.first_sends = deque()
         self.repeats = deque()
 
-    def add(self, is_repeat, now):
-        """Count one send."""
+    def add(self, is_repeat, now, amount=1):
+        """Count some sends."""
         sends = self.repeats if is_repeat else self.first_sends
-        sends.append(now)
+        for _ in range(amount):
+            sends.append(now)
 
     def expire(self, now):
         """Drop the sends that have left the window."""
@@ -64,12 +65,15 @@
         self.started_at = started_at
         self.all_sends = SendWindow(window_s)
         self.own_sends = SendWindow(window_s)
+        # First sends and repeats of this host since its start.
+        self.own_totals = {False: 0, True: 0}
 
-    def record(self, is_repeat, is_own, now):
-        """Count a send of this or another host."""
-        self.all_sends.add(is_repeat, now)
+    def record(self, is_repeat, is_own, now, amount=1):
+        """Count some sends of this or another host."""
+        self.all_sends.add(is_repeat, now, amount)
         if is_own:
-            self.own_sends.add(is_repeat, now)
+            self.own_sends.add(is_repeat, now, amount)
+            self.own_totals[is_repeat] += amount
 
     def expire(self, now):
         """Drop the sends that have left the window."""
--- /dev/null
+++ b/oleanderroute/decisions/send_counts.py
@@ -0,0 +1,71 @@
+"""Counts the sends of other hosts although some of their findings are lost.
+
+Each process numbers its first sends and its resends to a service, and the finding that
+announces a send carries its number. A receiver that misses some of them counts them
+with the next one that arrives.
+"""
+
+
+class Process:
+    """Sends of one process of another host, as far as they were announced.
+
+    Parameters
+    ----------
+    incarnation : int
+    is_complete : bool
+        Whether its sends were followed from its start, so that a number that is seen
+        for the first time also counts the numbers below it.
+    """
+
+    def __init__(self, incarnation, is_complete):
+        self.incarnation = incarnation
+        self.is_complete = is_complete
+        self.numbers = {}
+
+    def advance(self, kind, number):
+        """Return how many sends of a kind are new with this number."""
+        known = self.numbers.get(kind)
+        if known is None:
+            known = 0 if self.is_complete else number - 1
+        self.numbers[kind] = max(known, number)
+        return max(0, number - known)
+
+
+class RemoteSendCounts:
+    """Derives the sends of other hosts from the numbers that they announce.
+
+    Attributes
+    ----------
+    missed : int
+        Sends since the start that were counted only by a later number.
+    """
+
+    def __init__(self):
+        self.processes = {}
+        # Findings of a process that was replaced may still be on their way.
+        self.replaced = {}
+        self.missed = 0
+
+    def advance(self, host_id, incarnation, kind, number):
+        """Return how many sends are new with an announced number.
+
+        Parameters
+        ----------
+        host_id : HostId
+        incarnation : int
+            Identifies the process; it differs from the host's previous one.
+        kind : hashable
+            Sends of different kinds are numbered separately.
+        number : int
+        """
+        if self.replaced.get(host_id) == incarnation:
+            return 0
+        process = self.processes.get(host_id)
+        if process is None or process.incarnation != incarnation:
+            is_complete = process is not None or number == 1
+            if process is not None:
+                self.replaced[host_id] = process.incarnation
+            process = self.processes[host_id] = Process(incarnation, is_complete)
+        amount = process.advance(kind, number)
+        self.missed += max(0, amount - 1)
+        return amount
--- a/oleanderroute/host/findings.py
+++ b/oleanderroute/host/findings.py
@@ -45,6 +45,28 @@
             latency_s = record.elapsed_s
         self.publish(target, finding, record, latency_s, load)
 
+    def report_start(self, target, record, is_repeat, is_counted):
+        """Count a send that begins and publish its start.
+
+        Parameters
+        ----------
+        is_counted : bool
+            Whether the send counts for the limit on repeats.
+        """
+        service = target.entry.service
+        if is_counted:
+            self.view.count_own_send(service, is_repeat)
+        finding = Finding.RESENT if is_repeat else Finding.SENT
+        target_id = target.entry.target_id
+        self.view.observe(target_id, finding, record.started_at, None)
+        self.gossip.report(
+            target_id,
+            finding,
+            record.started_at,
+            record.number,
+            count=self.view.allowance_of(service).own_totals[is_repeat],
+        )
+
     def publish(self, target, finding, record, latency_s=None, load=None):
         """Apply a finding on this host and report it to the other hosts."""
         target_id = target.entry.target_id
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -6,7 +6,7 @@
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
 from ..decisions.selection import TargetView
-from ..decisions.send_gaps import SendGaps
+from ..decisions.send_counts import RemoteSendCounts
 from ..decisions.standing_queue import StandingQueue
 from ..errors import DocumentError
 from .routes import PrefixRoutes
@@ -51,7 +51,7 @@
         self.latencies = {}
         self.queues = {}
         self.allowances = {}
-        self.send_gaps = SendGaps()
+        self.remote_counts = RemoteSendCounts()
         self.started_at = clock.now()
         self.store_recovered_at = float("-inf")
         # Targets whose entry was removed while the store was recovering, and the time
@@ -281,7 +281,16 @@
 
     # Findings
 
-    def observe(self, target_id, finding, sent_at, sender, latency_s=None, load=None):
+    def observe(
+        self,
+        target_id,
+        finding,
+        sent_at,
+        sender,
+        latency_s=None,
+        load=None,
+        count=None,
+    ):
         """Apply a finding of this or another host about a target.
 
         Parameters
@@ -290,13 +299,17 @@
             Host and number of the send; None if this host sent it.
         load : tuple of int, optional
             Number of requests at the target, and number of its slots.
+        count : tuple of int, optional
+            Incarnation of the sending process and the number of its sends so far, at
+            the start of a send of another host.
         """
         view = self.targets.get(target_id)
         if view is None:
             return
         now = self.clock.now()
         is_own = sender is None
-        self.count_send(view, finding, sender, now)
+        if not is_own:
+            self.count_remote_send(view, finding, sender, now, count)
         before = view.health.gray_probability
         view.health.observe(finding, sent_at, now, is_own)
         if load is not None:
@@ -306,16 +319,26 @@
             self.latencies_of(view.entry.service).add(latency_s)
         self.log_belief_change(target_id, before, view.health, finding, is_own)
 
-    def count_send(self, view, finding, sender, now):
+    def count_own_send(self, service, is_repeat):
+        """Count a send of this host for the limit on repeats."""
+        self.allowance_of(service).record(is_repeat, True, self.clock.now())
+
+    def count_remote_send(self, view, finding, sender, now, count):
         """Count first and repeated sends, and the sends in flight of other hosts."""
-        if finding in START_FINDINGS:
-            allowance = self.allowance_of(view.entry.service)
-            allowance.record(finding is Finding.RESENT, sender is None, now)
-            if sender is not None:
-                view.record_remote_send(sender, now)
-                self.send_gaps.record(*sender)
-        elif sender is not None and finding not in INTERIM_FINDINGS:
-            view.record_remote_end(sender)
+        if finding not in START_FINDINGS:
+            if finding not in INTERIM_FINDINGS:
+                view.record_remote_end(sender)
+            return
+        view.record_remote_send(sender, now)
+        is_repeat = finding is Finding.RESENT
+        service = view.entry.service
+        amount = 1
+        if count is not None:
+            incarnation, number = count
+            amount = self.remote_counts.advance(
+                sender[0], incarnation, (service, is_repeat), number
+            )
+        self.allowance_of(service).record(is_repeat, False, now, amount)
 
     def log_belief_change(self, target_id, before, health, finding, is_own):
         """Log when the gray probability of a target crosses 0.5."""
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import secrets
 from dataclasses import dataclass
 
 from .. import events
@@ -29,6 +30,8 @@
 MAX_CHANGE_BYTES = 900
 MAX_OBSERVATIONS = 30
 MAX_AGE_MS = 60_000
+# The field of the message has 16 bits with a sign.
+MAX_INCARNATION = 2**15
 URGENT = frozenset(
     {Finding.FAILED, Finding.OVERDUE, Finding.LONG_OVERDUE, Finding.UNREACHABLE}
 )
@@ -100,6 +103,7 @@
         self.domain_outbox = Outbox()
         self.hub_outbox = Outbox()
         self.patch_maker = PatchMaker(view.replica)
+        self.incarnation = secrets.randbelow(MAX_INCARNATION)
         self.timers = {}
         self.sent_at = 0.0
         self.live_list_sent_at = 0.0
@@ -171,9 +175,23 @@
     # Sending
 
     def report(
-        self, target_id, finding, sent_at, send_number, latency_s=None, load=None
+        self,
+        target_id,
+        finding,
+        sent_at,
+        send_number,
+        latency_s=None,
+        load=None,
+        count=None,
     ):
-        """Queue a finding for the other hosts."""
+        """Queue a finding for the other hosts.
+
+        Parameters
+        ----------
+        count : int, optional
+            At the start of a send, how many first sends, or resends, to the service
+            this process has begun.
+        """
         age_ms = int((self.clock.now() - sent_at) * 1000)
         observation = Observation(
             target_id=target_id,
@@ -183,6 +201,9 @@
         )
         if latency_s is not None:
             observation.latency_ms = int(latency_s * 1000)
+        if count is not None:
+            observation.incarnation = self.incarnation
+            observation.count = count
         if load is not None:
             observation.in_system = min(load[0], 30_000)
             observation.slots = min(load[1], 30_000)
@@ -383,9 +404,12 @@
             load = (observation.in_system, observation.slots)
         sent_at = now - observation.age_ms / 1000
         sender = (observation.host_id, observation.send_number)
+        count = None
+        if observation.incarnation is not None and observation.count is not None:
+            count = (observation.incarnation, observation.count)
         self.membership.last_seen_at[observation.host_id] = now
         self.view.observe(
-            observation.target_id, finding, sent_at, sender, latency_s, load
+            observation.target_id, finding, sent_at, sender, latency_s, load, count
         )
 
     def log_unknown_kind(self, observation):
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -51,7 +51,7 @@
         )
         self.sends_missed = Gauge(
             "oleander_host_remote_sends_missed",
-            "Sends of other hosts since the start of which no finding arrived.",
+            "Sends of other hosts since the start whose own finding did not arrive.",
             registry=registry,
         )
         self.counted_sends = Gauge(
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -54,7 +54,7 @@
         allowance.expire(now)
         counted = allowance.all_sends
         own = allowance.own_sends
-        missed = self.view.send_gaps.total()
+        missed = self.view.remote_counts.missed
         events.REPEATS_COUNTED.log(
             service=service,
             first=len(counted.first_sends),
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -83,11 +83,12 @@
             not target.has_free_slot(now, latencies.service_s),
         )
         is_repeat = exchange.delivered_sends > 0
+        # A request is counted once, however many targets could not be reached.
+        is_counted = is_repeat or not exchange.sends
         exchange.sends.append(record)
         target.own_in_flight += 1
         target.last_own_send_at = now
-        start = Finding.RESENT if is_repeat else Finding.SENT
-        self.reporter.publish(target, start, record)
+        self.reporter.report_start(target, record, is_repeat, is_counted)
         overdue = OverdueReporter(
             self.reporter,
             latencies,
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3243,6 +3243,8 @@
      - slots
      - send_number
      - host_id
+     - incarnation
+     - count
 
     """
 
@@ -3255,10 +3257,12 @@
         'slots',
         'send_number',
         'host_id',
+        'incarnation',
+        'count',
     )
 
 
-    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None,):
+    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None, incarnation=None, count=None,):
         self.target_id = target_id
         self.kind = kind
         self.age_ms = age_ms
@@ -3267,6 +3271,8 @@
         self.slots = slots
         self.send_number = send_number
         self.host_id = host_id
+        self.incarnation = incarnation
+        self.count = count
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3317,6 +3323,16 @@
                     self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I16:
+                    self.incarnation = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3359,6 +3375,14 @@
             oprot.writeFieldBegin('host_id', TType.STRING, 8)
             oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I16, 9)
+            oprot.writeI16(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 10)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4344,6 +4368,8 @@
     (6, TType.I16, 'slots', None, None, ),  # 6
     (7, TType.I32, 'send_number', None, None, ),  # 7
     (8, TType.STRING, 'host_id', 'UTF8', None, ),  # 8
+    (9, TType.I16, 'incarnation', None, None, ),  # 9
+    (10, TType.I32, 'count', None, None, ),  # 10
 )
 all_structs.append(ItemChange)
 ItemChange.thrift_spec = (
