Keep the counted sends when the settings are reloaded

The counts now stay and only the limit changes. The test 'Changed settings keep the counted sends' fails without the change.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -38,6 +38,10 @@
       | arrive after the host has restarted | 50   | 40      |
       | are first seen in the middle        | 50   | 26      |
 
+  # Guards against a fresh allowance of all hosts after a change of the settings.
+  Scenario: host decisions: Changed settings keep the counted sends
+    Then host decisions: after a reload with another ratio the counted sends are the same
+
   # Guards against a replica that goes back, or that differs from the store.
   Scenario: host decisions: A replica converges whatever way its news takes
     Then host decisions: replicas fed by events, listings and copies in any order equal the store
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -25,6 +25,7 @@
 from oleanderroute.decisions.standing_queue import StandingQueue
 from oleanderroute.errors import DocumentError, SettingsError
 from oleanderroute.host.copies import CopyServer, fetch_copy
+from oleanderroute.host.fleetview import FleetView
 from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.logsink import LogSink
 from oleanderroute.host.model import (
@@ -195,6 +196,23 @@
     assert total == counted, total
 
 
+@then(
+    "host decisions: after a reload with another ratio the counted sends are the same"
+)
+def step_reload(context):
+    clock = SimpleNamespace(now=lambda: 100.0)
+    limits = {"retry_ratio": 0.2, "retry_allowance": 50.0, "retry_window_s": 10.0}
+    view = FleetView(SimpleNamespace(**limits), None, clock, None)
+    for is_repeat in (False, False, True):
+        view.count_own_send("s", is_repeat)
+    view.update_settings(SimpleNamespace(**limits | {"retry_ratio": 0.1}))
+    allowance = view.allowance_of("s")
+    assert allowance.own_totals == {False: 2, True: 1}
+    assert len(allowance.all_sends.first_sends) == 2
+    assert len(allowance.all_sends.repeats) == 1
+    assert allowance.ratio == 0.1
+
+
 # Store replica
 
 
--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -68,6 +68,14 @@
         # First sends and repeats of this host since its start.
         self.own_totals = {False: 0, True: 0}
 
+    def configure(self, ratio, allowance, window_s):
+        """Change the limit; what was counted stays counted."""
+        self.ratio = ratio
+        self.allowance = allowance
+        self.window_s = window_s
+        self.all_sends.window_s = window_s
+        self.own_sends.window_s = window_s
+
     def record(self, is_repeat, is_own, now, amount=1):
         """Count some sends of this or another host."""
         self.all_sends.add(is_repeat, now, amount)
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -59,6 +59,16 @@
         self.awaiting_return = {}
         self.on_configuration = []
 
+    def update_settings(self, settings):
+        """Apply changed settings."""
+        self.settings = settings
+        for allowance in self.allowances.values():
+            allowance.configure(
+                settings.retry_ratio,
+                settings.retry_allowance,
+                settings.retry_window_s,
+            )
+
     # Items of the store
 
     def apply(self, items):
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -228,8 +228,7 @@
                 path="listen", reason="an address can't change while the host runs"
             )
             return
-        self.view.settings = settings
-        self.view.allowances.clear()
+        self.view.update_settings(settings)
         events.SETTINGS_RELOADED.log(host=settings.host_id)
 
     async def drain(self):
