Cut off answers of targets that send bytes without end

A body without end, chunked or ended by the close of the connection, was passed on for as long as the caller read: no timeout between two bytes ends it. Heads and interim answers without end were bounded already.

A streamed body is now cut off at the time limit of its request: the caller's connection is reset, the target's one is closed and counts as a failure of the target. Bytes of an answer that are no body are bounded at 64 KB in sum, also after its head. The earlier daemon (oleanderroute.daemon) still passes bodies on without a limit in time.

--- a/features/host.feature
+++ b/features/host.feature
@@ -137,3 +137,26 @@
     Then host: some are refused for the reason "no-room", and none of those has run
     And host: the host has logged that a queue stands
     And host: a lookup alone is served
+
+  # Guards against a host that reads an answer without end, in memory or for longer than
+  # the caller waits.
+  Scenario Outline: host: A target that sends bytes without end is cut off
+    Given host: 1 host, targets t1 and t2
+    When host: all targets are in mode "<mode>" and "<method>" is sent to "<path>"
+    Then host: the answer is no complete success, after <runs> runs
+    And host: each target that runs it sees the connection closed within 0.5 s
+    And host: the host has used at most 64 MB more memory
+    When host: all targets are in mode "" and "GET" is sent to "/look/2"
+    Then host: the status is 200
+
+    Examples:
+      | mode              | method | path     | runs |
+      | endless-garbage   | POST   | /order/1 | 1    |
+      | endless-head      | GET    | /look/1  | 2    |
+      | endless-head      | POST   | /order/1 | 1    |
+      | endless-interim   | POST   | /order/1 | 1    |
+      | endless-chunks    | GET    | /look/1  | 1    |
+      | endless-chunks    | POST   | /order/1 | 1    |
+      | endless-close     | POST   | /order/1 | 1    |
+      | endless-trailer   | POST   | /order/1 | 1    |
+      | endless-extension | POST   | /order/1 | 1    |
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -11,6 +11,7 @@
 
 HOST = "shop.example"
 SETTLE_TIMEOUT_S = 15.0
+ANSWER_TIMEOUT_S = 10.0
 
 
 def route(name, kind, prefix, service="pedidos", **others):
@@ -188,10 +189,12 @@
             lines.append(f"Content-Length: {len(body)}")
         with socket.create_connection((address, port), 10.0) as connection:
             connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            received = b""
+            received = bytearray()
+            ends_at = time.monotonic() + ANSWER_TIMEOUT_S
             while data := connection.recv(65536):
                 received += data
-        return parse_answer(received)
+                assert time.monotonic() < ends_at, "the answer does not end"
+        return parse_answer(bytes(received))
 
     def log(self, name, number):
         """Return the log records of a host that have an event number."""
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -42,6 +42,7 @@
         self.extra_bytes = False
         self.keep_alive = False
         self.head_bytes = 0
+        self.body_bytes = 0
         self.headers = []
         self.chunks = []
         self.size = 0
@@ -156,6 +157,7 @@
             return
         if self.stray:
             return
+        self.body_bytes += len(data)
         if self.stream is not None:
             self.stream.feed(data)
             return
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -151,6 +151,10 @@
     """The target stopped in the middle of an answer."""
 
 
+class AnswerTimeout(TargetError):
+    """The answer was still being sent at the time limit of its request."""
+
+
 class MalformedAnswer(TargetError):
     """The answer is not valid HTTP or its framing is inconsistent."""
 
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -595,6 +595,14 @@
         "left_out",
     ),
 )
+ANSWER_CUT = define(
+    662,
+    "answer_cut",
+    "A body was still arriving at the time limit of its request; it was cut off.",
+    Level.WARNING,
+    ("request", "target", "bytes"),
+    "Find out why the target sends so much or so slowly.",
+)
 REQUEST_WITHOUT_ROUTE = define(
     661,
     "request_without_route",
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from .. import events
 from ..decisions.health import Finding
 from ..entry.messages import OutgoingRequest, PrefixedBody
 from ..entry.target_pool import ConnectionLimitReached
@@ -15,6 +16,7 @@
 )
 from .exchange import SendRecord, SendResult
 from .findings import FIRST_SERVER_ERROR, OverdueReporter
+from .limited_stream import LimitedStream
 
 # These statuses tell a caller that the request did not run, which only a proof by the
 # target permits.
@@ -114,8 +116,25 @@
             if not record.is_queued:
                 latencies.add_service_time(record.elapsed_s)
         self.reporter.report_outcome(target, outcome, record, overdue.overdue_finding)
+        if outcome.answer is not None and outcome.answer.stream is not None:
+            self.limit_stream(exchange, target, record, outcome.answer)
         return outcome
 
+    def limit_stream(self, exchange, target, record, answer):
+        """End a body that is not complete at the time limit of the request."""
+
+        def on_timeout(passed_bytes):
+            events.ANSWER_CUT.log(
+                request=exchange.attempt_id,
+                target=record.target_id,
+                bytes=passed_bytes,
+            )
+            self.reporter.publish(target, Finding.FAILED, record)
+
+        answer.stream = LimitedStream(
+            answer.stream, exchange.deadline_at, self.clock, on_timeout
+        )
+
     async def run_exchange(self, exchange, target, sent_at):
         """Exchange request and answer with a target and classify the result."""
         entry = target.entry
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -3,7 +3,7 @@
 Run it as ``python -m standins.platform_target --store ADDRESS --id ID --service NAME``.
 A request whose path ends in ``/~MODE`` is treated in that mode: ``hang``, ``shed``,
 ``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven``, ``slow``
-or ``crash``.
+or ``crash``. The modes in ``ENDLESS`` send bytes until the connection is closed.
 """
 
 import asyncio
@@ -25,6 +25,21 @@
 CRASHED = 70
 SLOTS = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Of each mode without end: how the answer begins, and what is sent again and again.
+PIECE = 64 * 1024
+CHUNK = b"%x\r\n%b\r\n" % (PIECE, b"x" * PIECE)
+SEALED_HEAD = f"HTTP/1.1 200 OK\r\nX-Response-Seal: {SEAL}\r\n".encode()
+CHUNKED_HEAD = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "endless-garbage": (b"", b"\x00\xff" * PIECE),
+    "endless-head": (SEALED_HEAD + b"X-Long: ", b"x" * PIECE),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "endless-chunks": (CHUNKED_HEAD, CHUNK),
+    "endless-close": (SEALED_HEAD + b"\r\n", b"x" * PIECE),
+    "endless-trailer": (CHUNKED_HEAD + b"1\r\nx\r\n0\r\nX-Long: ", b"x" * PIECE),
+    "endless-extension": (CHUNKED_HEAD + b"1;long=", b"x" * PIECE),
+}
+ENDLESS_PAUSE_S = 0.002
 
 
 class PlatformTarget:
@@ -91,8 +106,22 @@
         if mode == "hang" and await is_closed_within(reader, HANG_S):
             self.cancelled.append([headers.get("x-attempt-id", ""), time.time()])
             return False
+        if mode in ENDLESS:
+            await self.send_endless(writer, attempt_id, *ENDLESS[mode])
+            return False
         return await self.finish(writer, headers, mode)
 
+    async def send_endless(self, writer, attempt_id, start, piece):
+        """Send bytes until the other side closes the connection."""
+        writer.write(start)
+        try:
+            while True:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(ENDLESS_PAUSE_S)
+        except ConnectionError:
+            self.cancelled.append([attempt_id, time.time()])
+
     async def finish(self, writer, headers, mode):
         """Answer a request that has run."""
         content = f"{self.target_id} ran it".encode()
