Keep to the fair share of repeats while the sends of other hosts are counted late

Each host could repeat four times its share of the fixed part and twice its share of the ratio, on the assumption that it sees the others' repeats at once. In sum that is up to twice the limit (BUDGET) when it does not. The multiples now shrink with the share of sends that were counted late, and at 0.3 of them each host keeps to its share, so that the limit holds in sum whatever the hosts see of each other.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -24,6 +24,11 @@
       | 36    | 2      |
       | 36    | 36     |
 
+  # Guards against hosts that spend a multiple of their share because they count each
+  # other's sends seconds late.
+  Scenario: host decisions: Repeats keep the fleet's bound with late counts
+    Then host decisions: 36 hosts that count 40 sends of each other at once keep the bound
+
   # Guards against sends of other hosts that are never counted because their findings
   # were lost on a full link (BUDGET broken on both grown sites).
   Scenario Outline: host decisions: Sends whose findings <fate> are counted once
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -4,6 +4,7 @@
 import os
 import random
 import time
+from collections import Counter
 from types import SimpleNamespace
 
 from behave import then
@@ -173,6 +174,42 @@
     assert repeats
 
 
+@then(
+    "host decisions: {hosts:d} hosts that count {late:d} sends of each other at once "
+    "keep the bound"
+)
+def step_late_counts(context, hosts, late):
+    ratio, allowance, window_s = 0.2, 58.0, 10.0
+    rng = random.Random(hosts)
+    fleet = [RepeatAllowance(ratio, allowance, window_s, 0.0) for _ in range(hosts)]
+    announced = [Counter() for _ in range(hosts)]
+    sends = {False: [], True: []}
+
+    def send(number, is_repeat, now):
+        sends[is_repeat].append(now)
+        fleet[number].record(is_repeat, True, now)
+        announced[number][is_repeat] += 1
+        if announced[number][is_repeat] % late:
+            return
+        for other in range(hosts):
+            if other != number:
+                fleet[other].record(is_repeat, False, now, late)
+
+    now = 20.0
+    for _ in range(6000):
+        now += rng.expovariate(200.0)
+        number = rng.randrange(hosts)
+        send(number, False, now)
+        # From 10 s on, every request fails and is retried as often as permitted.
+        while now > 30.0 and fleet[number].may_repeat(hosts, hosts, now):
+            send(number, True, now)
+        recent = {}
+        for is_repeat, times in sends.items():
+            recent[is_repeat] = sum(1 for at in times if at > now - window_s)
+        assert recent[True] <= ratio * recent[False] + allowance, (now, recent)
+    assert sends[True]
+
+
 ANNOUNCED_SENDS = {
     "all arrive": [(7, number) for number in range(1, 51)],
     "arrive in another order": [
--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -7,8 +7,13 @@
 SAFETY_FACTOR = 0.8
 # Part of the limit that hedges leave to resends of requests that targets refused.
 HEDGE_RESERVE_SHARE = 0.2
-# Multiple of its fair share of the fixed allowance that one host may use.
+# Multiples of its fair share of the ratio and of the fixed allowance that one host may
+# use while it sees the sends of the others in time.
+MAX_RATIO_MULTIPLE = 2.0
 MAX_FAIR_SHARE_MULTIPLE = 4.0
+# With this share of sends that were counted late, a host keeps to its fair share. The
+# hosts then keep the limit in sum, whatever they see of each other.
+MAX_LATE_SHARE = 0.3
 
 
 class SendWindow:
@@ -65,6 +70,8 @@
         self.started_at = started_at
         self.all_sends = SendWindow(window_s)
         self.own_sends = SendWindow(window_s)
+        # When sends were counted that had not been announced in time.
+        self.late_sends = deque()
         # First sends and repeats of this host since its start.
         self.own_totals = {False: 0, True: 0}
 
@@ -77,7 +84,15 @@
         self.own_sends.window_s = window_s
 
     def record(self, is_repeat, is_own, now, amount=1):
-        """Count some sends of this or another host."""
+        """Count some sends of this or another host.
+
+        Parameters
+        ----------
+        amount : int
+            More than one if the announcements of earlier ones did not arrive.
+        """
+        for _ in range(amount - 1):
+            self.late_sends.append(now)
         self.all_sends.add(is_repeat, now, amount)
         if is_own:
             self.own_sends.add(is_repeat, now, amount)
@@ -87,6 +102,13 @@
         """Drop the sends that have left the window."""
         self.all_sends.expire(now)
         self.own_sends.expire(now)
+        while self.late_sends and self.late_sends[0] <= now - self.window_s:
+            self.late_sends.popleft()
+
+    def late_share(self):
+        """Return the share of the counted sends that were announced too late."""
+        counted = len(self.all_sends.first_sends) + len(self.all_sends.repeats)
+        return len(self.late_sends) / max(1, counted)
 
     def limit(self, reachable_hosts, known_hosts, now):
         """Return the repeats that all reachable hosts may send in a window."""
@@ -98,8 +120,11 @@
 
     def own_limit(self, known_hosts, now):
         """Return the repeats that this host may send in a window."""
-        part = MAX_FAIR_SHARE_MULTIPLE * self.allowance / max(1, known_hosts)
-        return SAFETY_FACTOR * (2 * self.ratio * len(self.own_sends.first_sends) + part)
+        trust = max(0.0, 1.0 - self.late_share() / MAX_LATE_SHARE)
+        ratio = self.ratio * (1.0 + trust * (MAX_RATIO_MULTIPLE - 1.0))
+        multiple = 1.0 + trust * (MAX_FAIR_SHARE_MULTIPLE - 1.0)
+        part = multiple * self.allowance / max(1, known_hosts)
+        return SAFETY_FACTOR * (ratio * len(self.own_sends.first_sends) + part)
 
     def may_repeat(self, reachable_hosts, known_hosts, now, is_hedge=False):
         """Return whether one more repeat is allowed.
