List the store instead of watching it while its changes fill the link

A watch returns every version of a changed value in full. On links of 5 Mbit/s a configuration of 1,200 routes takes 0.55 s a version, so a watcher fell behind a series of changes (one each 0.4 s) by more with each of them: versions 6 and 9 of the scenario were 2.74 and 2.81 s late, bound 2.5 s. After a page that took the link for over 0.2 s, the next call lists the items, which returns only the newest version of each.

The stand-in of the store gave the revision at the end of a transfer instead of the one of its content, so hosts skipped changes that it never sent; corrected.

--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -252,6 +252,7 @@
 
     async def answer(self, items):
         """Let the items pass the link of the host, in base64."""
+        revision = self.shared.revision
         size = 200 + sum(len(item.value or b"") * 4 // 3 + 150 for item in items)
         link = self.loop.links[self.address]
         await asyncio.sleep(0.004)
@@ -259,7 +260,7 @@
             passed_at = link.carry("down", min(size, SEGMENT_BYTES), self.loop.now)
             size -= SEGMENT_BYTES
             await asyncio.sleep(passed_at - self.loop.now)
-        return ItemPage(list(items), self.shared.revision)
+        return ItemPage(list(items), revision)
 
     async def read_prefix(self, prefix):
         self.shared.calls += 1
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -81,9 +81,11 @@
         return news
 
     def apply_listing(self, prefix, items, revision):
-        """Apply a complete listing of a prefix."""
-        for item in self.replica.replace(prefix, items, revision):
+        """Apply a complete listing of a prefix and return the changes."""
+        changes = self.replica.replace(prefix, items, revision)
+        for item in changes:
             self.item_changed(item)
+        return changes
 
     def record_confirmation(self, at):
         """Record that the store confirmed the replica's revision at ``at``."""
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from .. import events
+from ..decisions.link_budget import BYTES_PER_MBIT
 from ..errors import HistoryLost, LeaseUnknown, PeerError, StoreError
 from .copies import fetch_copy
 
@@ -34,6 +35,11 @@
 REGISTRATION_RETRY_S = 0.8
 # Time after which this host's own write has arrived in its replica.
 REGISTRATION_CHECK_S = 1.5
+# A watch returns every version of a changed value. If the last page took the link for
+# this time, the next call lists the items instead, which returns the newest only.
+MAX_PAGE_TRANSFER_S = 0.2
+# The store encodes values in base64.
+ENCODED_SIZE_RATIO = 4 / 3
 ALL_KEYS = ""
 
 
@@ -66,6 +72,7 @@
         # host has been behind.
         self.announced_revision = 0
         self.behind_since = 0.0
+        self.must_list = False
         self.lease = None
         gossip.on_newer_revision = self.newer_revision_seen
 
@@ -79,13 +86,13 @@
     async def load(self):
         """Load a first copy from the store, or from a seed if the store fails."""
         while not self.is_loaded.is_set():
-            if not await self.load_from_store():
+            if await self.load_from_store() is None:
                 await self.load_from_seeds()
             if not self.is_loaded.is_set():
                 await self.sleep_before_retry()
 
     async def load_from_store(self):
-        """Read all items; return whether it succeeded."""
+        """Read all items; return the changes, or None if it failed."""
         formats = self.formats
         prefixes = (
             formats.CONFIGURATION_KEY,
@@ -99,13 +106,14 @@
             pages = await asyncio.gather(*reads)
         except StoreError as error:
             self.record_store_failure(error)
-            return False
+            return None
+        changes = []
         for prefix, page in zip(prefixes, pages, strict=True):
-            self.view.apply_listing(prefix, page.items, page.revision)
+            changes += self.view.apply_listing(prefix, page.items, page.revision)
         self.view.replica.advance(min(page.revision for page in pages))
         self.record_store_success()
         self.finish_load("store")
-        return True
+        return changes
 
     async def load_from_seeds(self):
         """Fetch a copy from the first seed that has one."""
@@ -145,7 +153,10 @@
             if not watches:
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
-            await self.watch_once()
+            if self.must_list:
+                await self.list_once()
+            else:
+                await self.watch_once()
 
     def must_watch(self, now):
         """Tell whether this host has to watch the store itself."""
@@ -174,10 +185,7 @@
             page = await self.store.watch(ALL_KEYS, after, LONG_POLL_TIMEOUT_S)
         except HistoryLost as error:
             events.HISTORY_LOST.log(revision=after, reason=str(error))
-            if await self.load_from_store():
-                self.gossip.announce_changes([], after)
-            else:
-                await self.sleep_before_retry()
+            await self.list_once()
             return
         except StoreError as error:
             self.record_store_failure(error)
@@ -186,10 +194,28 @@
         self.record_store_success()
         news = self.view.apply(page.items)
         replica.advance(page.revision)
+        self.must_list = self.transfer_s(page.items) > MAX_PAGE_TRANSFER_S
         if page.items:
             self.gossip.announce_changes(news, after)
             await asyncio.sleep(BATCH_PAUSE_S)
 
+    async def list_once(self):
+        """Read all items and announce their changes."""
+        after = self.view.replica.revision
+        changes = await self.load_from_store()
+        if changes is None:
+            await self.sleep_before_retry()
+            return
+        self.must_list = self.transfer_s(changes) > MAX_PAGE_TRANSFER_S
+        self.gossip.announce_changes(changes, after)
+
+    def transfer_s(self, items):
+        """Return for how long items of the store take the link; 0 if not known."""
+        if self.settings.link_mbps <= 0.0:
+            return 0.0
+        size = sum(len(item.value or b"") for item in items)
+        return ENCODED_SIZE_RATIO * size / (self.settings.link_mbps * BYTES_PER_MBIT)
+
     def record_store_success(self):
         """Record a successful call to the store; log the end of an outage."""
         if self.store_failing:
