--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -26,8 +26,26 @@
 
   # Guards against hosts that spend a multiple of their share because they count each
   # other's sends seconds late.
-  Scenario: host decisions: Repeats keep the fleet's bound with late counts
-    Then host decisions: 36 hosts that count 40 sends of each other at once keep the bound
+  Scenario Outline: host decisions: Repeats keep the fleet's bound with late counts, from <start> s on
+    Then host decisions: 36 hosts that count 40 sends of each other at once keep the bound, with repeats from <start> s on
+
+    Examples:
+      | start |
+      | 0     |
+      | 10    |
+
+  # Guards against memory that grows with each key that has a large value.
+  Scenario: host decisions: Kept values are bounded in sum
+    Then host decisions: 40 changes of 20 values of 1048576 bytes keep at most 8388608 bytes
+
+  # Guards against datagrams that are cut into fragments, each of which may be lost.
+  Scenario: host decisions: A full datagram of findings fits in a frame
+    Then host decisions: a full datagram of starts takes at most 1472 bytes
+
+  # Guards against a crashing request that goes on to other targets while its notice
+  # waits for a busy link.
+  Scenario: host decisions: A notice of a crash does not wait for the link
+    Then host decisions: a hub whose link is overdrawn holds findings and sends a notice
 
   # Guards against sends of other hosts that are never counted because their findings
   # were lost on a full link (BUDGET broken on both grown sites).
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -20,6 +20,7 @@
 from oleanderroute.decisions.health import Finding, TargetHealth
 from oleanderroute.decisions.hubs import HubChoice, appoint_watcher
 from oleanderroute.decisions.latency import LatencySample
+from oleanderroute.decisions.link_budget import LinkBudget
 from oleanderroute.decisions.replica import StoreReplica
 from oleanderroute.decisions.selection import RequestProfile, Selector, TargetView
 from oleanderroute.decisions.send_counts import RemoteSendCounts
@@ -36,9 +37,14 @@
     StoreItem,
     TargetEntry,
 )
+from oleanderroute.host.outbox import Outbox
 from oleanderroute.host.routes import PrefixRoutes
 from oleanderroute.peer.codec import encode_message
-from oleanderroute.peer.gen.oleander_messages.ttypes import Gossip, Observation
+from oleanderroute.peer.gen.oleander_messages.ttypes import (
+    CrashNotice,
+    Gossip,
+    Observation,
+)
 from oleanderroute.platform import documents, node_file
 
 HYPOTHESIS_SETTINGS = settings(
@@ -176,9 +182,9 @@
 
 @then(
     "host decisions: {hosts:d} hosts that count {late:d} sends of each other at once "
-    "keep the bound"
+    "keep the bound, with repeats from {start:d} s on"
 )
-def step_late_counts(context, hosts, late):
+def step_late_counts(context, hosts, late, start):
     ratio, allowance, window_s = 0.2, 58.0, 10.0
     rng = random.Random(hosts)
     fleet = [RepeatAllowance(ratio, allowance, window_s, 0.0) for _ in range(hosts)]
@@ -200,8 +206,8 @@
         now += rng.expovariate(200.0)
         number = rng.randrange(hosts)
         send(number, False, now)
-        # From 10 s on, every request fails and is retried as often as permitted.
-        while now > 30.0 and fleet[number].may_repeat(hosts, hosts, now):
+        # Every request then fails and is retried as often as permitted.
+        while now >= 20.0 + start and fleet[number].may_repeat(hosts, hosts, now):
             send(number, True, now)
         recent = {}
         for is_repeat, times in sends.items():
@@ -767,3 +773,46 @@
     revision, is_complete, items = asyncio.run(fetch())
     assert revision == 6 + count and is_complete
     assert {item.key: item for item in items} == replica.items
+
+
+@then(
+    "host decisions: {changes:d} changes of {keys:d} values of {size:d} bytes keep at "
+    "most {most:d} bytes"
+)
+def step_kept_values(context, changes, keys, size, most):
+    replica = StoreReplica()
+    for number in range(changes):
+        replica.apply(StoreItem(f"k{number % keys}", number + 1, b"x" * size))
+    kept = sum(len(item.value) for item in replica.previous)
+    assert 0 < kept <= most, kept
+    assert replica.value_at("k19", 20).revision == 20
+
+
+@then("host decisions: a full datagram of starts takes at most {most:d} bytes")
+def step_full_datagram(context, most):
+    task = InMemoryFleet(4, 2).tasks["h0"]
+    outbox = Outbox()
+    for number in range(100):
+        outbox.observations.append(
+            Observation(
+                target_id="i-88e0e87b82",
+                kind=int(Finding.RESENT),
+                age_ms=60_000,
+                send_number=100_000 + number,
+                host_id="edge-floripa-a-15",
+                incarnation=32_767,
+                count=100_000 + number,
+            )
+        )
+    size = len(encode_message(task.make_message(outbox, to_hub=False)))
+    assert size <= most, size
+
+
+@then("host decisions: a hub whose link is overdrawn holds findings and sends a notice")
+def step_notice_passes(context):
+    task = InMemoryFleet(4, 2).tasks["h0"]
+    task.budget = LinkBudget(1.0, task.clock.now())
+    task.budget.spend(1_000_000, task.clock.now())
+    assert task.link_wait_s() > 1.0
+    task.hub_outbox.crashes.append(CrashNotice("", "f", ["t"]))
+    assert task.link_wait_s() == 0.0
