Keep to the fair share of repeats until sends of other hosts are counted

Callers: at the first moment of an overload all hosts together may send more repeats than the limit allows, and targets get them on top of the load. Cause: a host that had counted no send of others took its view for complete and used up to four times its fair share. A host now trusts its counts only after one counted send for each other host on average, and weighs late counts against the sends of others, not against its own as well.

--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -11,7 +11,7 @@
 # use while it sees the sends of the others in time.
 MAX_RATIO_MULTIPLE = 2.0
 MAX_FAIR_SHARE_MULTIPLE = 4.0
-# With this share of sends that were counted late, a host keeps to its fair share. The
+# With this share of other hosts' sends counted late, a host keeps to its fair share. The
 # hosts then keep the limit in sum, whatever they see of each other.
 MAX_LATE_SHARE = 0.3
 
@@ -105,10 +105,23 @@
         while self.late_sends and self.late_sends[0] <= now - self.window_s:
             self.late_sends.popleft()
 
-    def late_share(self):
-        """Return the share of the counted sends that were announced too late."""
+    def remote_count(self):
+        """Return how many sends of other hosts are counted in the window."""
         counted = len(self.all_sends.first_sends) + len(self.all_sends.repeats)
-        return len(self.late_sends) / max(1, counted)
+        own = len(self.own_sends.first_sends) + len(self.own_sends.repeats)
+        return counted - own
+
+    def trust(self, known_hosts):
+        """Return, from 0 to 1, how far the counted sends of other hosts are complete.
+
+        Before a host has counted a send for each other host on average, it can't tell
+        whether their sends are few or only announced late.
+        """
+        remote = self.remote_count()
+        if remote < max(1, known_hosts - 1):
+            return 0.0
+        late_share = len(self.late_sends) / remote
+        return max(0.0, 1.0 - late_share / MAX_LATE_SHARE)
 
     def limit(self, reachable_hosts, known_hosts, now):
         """Return the repeats that all reachable hosts may send in a window."""
@@ -120,7 +133,7 @@
 
     def own_limit(self, known_hosts, now):
         """Return the repeats that this host may send in a window."""
-        trust = max(0.0, 1.0 - self.late_share() / MAX_LATE_SHARE)
+        trust = self.trust(known_hosts)
         ratio = self.ratio * (1.0 + trust * (MAX_RATIO_MULTIPLE - 1.0))
         multiple = 1.0 + trust * (MAX_FAIR_SHARE_MULTIPLE - 1.0)
         part = multiple * self.allowance / max(1, known_hosts)
