Obey targets that say they leave, or ask for a pause, in their answers

Callers: requests to a target that is about to end are lost with it, and sends to a full target come back refused. Before: neither header was read. A host went on sending until the store's news of a leaving arrived. Restrictions are kept by target id and start of its process, apart from the registration, so that an entry which lapses or can't be read does not end them; another start ends them. A leaving is told to the other hosts with the start of the target's process (a finding of kind 11; older hosts log and skip it). A pause binds only the host that was asked. A hint is bounded by 300 s, nonsense is logged and ignored. Such a refusal counts as load, not as evidence of a gray phase. With all targets of a service pausing, callers are refused at once and told to come back after the shortest pause, spread over half of it.

--- a/features/host.feature
+++ b/features/host.feature
@@ -44,6 +44,14 @@
       | way             |
       | a draining state |
       | a removed entry  |
+      | an answer        |
+
+  # Guards against requests to a target within the time in which it asked for none.
+  Scenario: host: A target that asks for a pause gets no request until its end
+    Given host: 1 host, targets t1 and t2
+    When host: all targets ask for a pause while 60 lookups and orders are sent
+    Then host: no target got more than one request of the host in any 1.5 s
+    And host: those refused without a send were told when to come back
 
   # Guards against the loss of targets and configuration while the store is away.
   Scenario Outline: host: The store is away
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -1,5 +1,6 @@
 """Steps on hosts that run against the simulated platform of the users."""
 
+import itertools
 import socket
 import threading
 import time
@@ -166,6 +167,13 @@
     if way == "a removed entry":
         fleet.remove("servers/t1")
         return
+    if way == "an answer":
+        fleet.set_mode("t1", "leaving")
+        fleet.wait_until(
+            lambda: send(context, "h1", "/look/1") and fleet.log("h1", 648),
+            "t1 has said that it leaves",
+        )
+        return
     port = fleet.targets["t1"].port
     fleet.put(
         "servers/t1",
@@ -188,6 +196,36 @@
     assert after == before, after
 
 
+@when("host: all targets ask for a pause while {count:d} lookups and orders are sent")
+def step_pause(context, count):
+    for target_id in ("t1", "t2"):
+        context.fleet.set_mode(target_id, "pause")
+    context.answers = []
+    for number in range(count):
+        method, path = [("GET", "/look/1"), ("POST", "/order/1")][number % 2]
+        context.answers.append(send(context, "h1", path, method))
+        time.sleep(0.05)
+
+
+@then("host: no target got more than one request of the host in any {pause_s:g} s")
+def step_pauses_kept(context, pause_s):
+    turned_away = context.fleet.turned_away()
+    for times in turned_away.values():
+        assert len(times) >= 2, turned_away
+        for earlier, later in itertools.pairwise(times):
+            assert later - earlier >= pause_s, turned_away
+
+
+@then("host: those refused without a send were told when to come back")
+def step_told_when(context):
+    reasons = Counter()
+    for status, headers, _ in context.answers:
+        assert status == 503, (status, headers)
+        assert float(headers["retry-after"]) > 0, headers
+        reasons[headers["oleander-reason"]] += 1
+    assert reasons["targets-asked-to-wait"] > len(context.answers) // 2, reasons
+
+
 @when('host: the store is "{fault}" for {wait_s:d} s')
 def step_fault(context, fault, wait_s):
     fleet = context.fleet
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -119,6 +119,14 @@
                 found.append((row[4], target_id))
         return found
 
+    def turned_away(self):
+        """Return the times of the requests that each target turned away."""
+        found = {}
+        for target_id, process in self.targets.items():
+            rows = call(process.port, "GET", "/control/turned-away").json()
+            found[target_id] = rows
+        return found
+
     def cancelled(self):
         """Return attempt id and time of the runs whose connection was closed."""
         found = []
--- a/idl/oleanderroute.thrift
+++ b/idl/oleanderroute.thrift
@@ -230,6 +230,8 @@
   // how many first sends, or resends, to the service it has begun.
   9: optional i16 incarnation
   10: optional i32 count
+  // Of a target that is leaving: the start of its process, in Unix milliseconds.
+  11: optional i64 target_started_ms
 }
 
 // A key of the platform's store; a removed key has no value.
--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -11,8 +11,8 @@
 # use while it sees the sends of the others in time.
 MAX_RATIO_MULTIPLE = 2.0
 MAX_FAIR_SHARE_MULTIPLE = 4.0
-# With this share of other hosts' sends counted late, a host keeps to its fair share. The
-# hosts then keep the limit in sum, whatever they see of each other.
+# With this share of the sends of others counted late, a host keeps to its fair share.
+# The hosts then keep the limit in sum, whatever they see of each other.
 MAX_LATE_SHARE = 0.3
 
 
--- a/oleanderroute/decisions/health.py
+++ b/oleanderroute/decisions/health.py
@@ -52,11 +52,17 @@
     RESENT = 9
     # The sender abandoned a send that gave no finding.
     ENDED = 10
+    # The target said in an answer that it will stop. It is no end of a send.
+    LEAVING = 11
 
 
 START_FINDINGS = frozenset({Finding.SENT, Finding.RESENT})
 # Findings that do not end a send.
-INTERIM_FINDINGS = START_FINDINGS | {Finding.OVERDUE, Finding.LONG_OVERDUE}
+INTERIM_FINDINGS = START_FINDINGS | {
+    Finding.OVERDUE,
+    Finding.LONG_OVERDUE,
+    Finding.LEAVING,
+}
 
 
 # Latency quantiles of good answers after which a request counts as OVERDUE and
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -24,6 +24,10 @@
 HEALTHY_FAILURE_PROBABILITY = 0.5
 # A remote send without a reported end is dropped from the count after this time.
 REMOTE_SEND_TIMEOUT_S = 1.0
+# Callers return within this share of the time they are told to wait, and at least this
+# time, after its end.
+RETURN_SPREAD_SHARE = 0.5
+MIN_RETURN_SPREAD_S = 0.2
 # Upper bound of the staleness that weights targets for exploration.
 MAX_STALENESS_S = 3.0
 
@@ -182,6 +186,14 @@
                 best, min_loss = view, loss
         return best
 
+    def spread_return_s(self, pause_s):
+        """Return after how many seconds a refused caller is asked to come back.
+
+        Callers that were refused for the same reason then return one by one.
+        """
+        spread_s = max(MIN_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * pause_s)
+        return pause_s + self.rng.uniform(0.0, spread_s)
+
     def explore(self, views, latencies, now):
         """Return a random target, weighted by squared staleness, or None.
 
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -293,6 +293,8 @@
         Running requests, waiting requests and slots, as reported by the target.
     echoed_id : bytes or None
         Request id that the target echoed in the answer.
+    retry_after : bytes or None
+        The ``Retry-After`` header as the target sent it, if its dialect reads it.
     """
 
     status: int
@@ -304,6 +306,7 @@
     misdirected: bool = False
     load: tuple[int, int, int] | None = None
     echoed_id: bytes | None = None
+    retry_after: bytes | None = None
     stream: AnswerStream | None = field(default=None, repr=False)
 
     def chunks(self):
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -576,6 +576,28 @@
     ("service", "standing", "wait_s"),
     "Add targets to the service if it lasts, or find out what sends the load.",
 )
+TARGET_SAID_LEAVING = define(
+    648,
+    "target_said_leaving",
+    "A target said in an answer that it will stop; it gets no new requests.",
+    Level.INFO,
+    ("target", "source"),
+)
+TARGET_PAUSED = define(
+    649,
+    "target_paused",
+    "A target turned a request away and named a time; it gets no requests until then.",
+    Level.INFO,
+    ("target", "request", "hint", "pause_s"),
+)
+PAUSE_REFUSED = define(
+    650,
+    "pause_refused",
+    "A target named no usable time to stay away; it goes on getting requests.",
+    Level.WARNING,
+    ("target", "request", "hint"),
+    "Correct the Retry-After header of the target.",
+)
 REQUEST_FINISHED = define(
     660,
     "request_finished",
--- a/oleanderroute/host/findings.py
+++ b/oleanderroute/host/findings.py
@@ -7,6 +7,7 @@
 from .exchange import SendResult
 
 FIRST_SERVER_ERROR = 500
+SHED_STATUS = 503
 FAILURE_FINDINGS = frozenset(
     {
         Finding.FAILED,
@@ -67,6 +68,14 @@
             count=self.view.allowance_of(service).own_totals[is_repeat],
         )
 
+    def report_leaving(self, entry):
+        """Record that a target said that it will stop, and tell the other hosts."""
+        view = self.view
+        if view.record_leaving(
+            entry.target_id, entry.started_ms, view.settings.host_id
+        ):
+            self.gossip.report_leaving(entry)
+
     def publish(self, target, finding, record, latency_s=None, load=None):
         """Apply a finding on this host and report it to the other hosts."""
         target_id = target.entry.target_id
@@ -98,6 +107,9 @@
     if result is SendResult.TIMEOUT:
         # The timeout was reported by the overdue findings if they were due before.
         return Finding.ENDED
+    if outcome.answer.status == SHED_STATUS and outcome.answer.retry_after is not None:
+        # A target that asks its callers to wait is busy, not gray.
+        return Finding.SHED
     if outcome.answer.status >= FIRST_SERVER_ERROR:
         return Finding.ERROR
     return Finding.GOOD if overdue_finding is None else Finding.LATE
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -5,6 +5,7 @@
 from ..decisions.health import INTERIM_FINDINGS, START_FINDINGS, Finding, TargetHealth
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
+from ..decisions.restrictions import TargetRestrictions
 from ..decisions.selection import TargetView
 from ..decisions.send_counts import RemoteSendCounts
 from ..decisions.standing_queue import StandingQueue
@@ -52,6 +53,7 @@
         self.queues = {}
         self.allowances = {}
         self.remote_counts = RemoteSendCounts()
+        self.restrictions = TargetRestrictions()
         self.started_at = clock.now()
         self.store_recovered_at = float("-inf")
         # Targets whose entry was removed while the store was recovering, and the time
@@ -169,7 +171,7 @@
         view = self.targets.get(target_id)
         if view is None:
             return
-        if now < return_by and not view.entry.is_leaving:
+        if now < return_by and not self.is_leaving(view.entry):
             self.awaiting_return[target_id] = return_by
             return
         self.remove_target(target_id)
@@ -258,12 +260,33 @@
 
     def usable_targets(self, service):
         """Return the views of the targets that may get new requests."""
+        now = self.clock.now()
+        forbids = self.restrictions.forbids
         found = []
-        for view in self.services.get(service, {}).values():
-            if not view.entry.is_leaving:
-                found.append(view)
+        for target_id, view in self.services.get(service, {}).items():
+            entry = view.entry
+            if entry.is_leaving or forbids(target_id, entry.started_ms, now):
+                continue
+            found.append(view)
         return found
 
+    def min_pause_s(self, service):
+        """Return the shortest pause that targets of a service asked for, or None."""
+        now = self.clock.now()
+        pauses_s = []
+        for target_id, view in self.services.get(service, {}).items():
+            entry = view.entry
+            pause_s = self.restrictions.pause_s(target_id, entry.started_ms, now)
+            if pause_s > 0.0 and not entry.is_leaving:
+                pauses_s.append(pause_s)
+        return min(pauses_s, default=None)
+
+    def is_leaving(self, entry):
+        """Tell whether a target announced its stop, in the store or in an answer."""
+        return entry.is_leaving or self.restrictions.is_leaving(
+            entry.target_id, entry.started_ms
+        )
+
     def latencies_of(self, service):
         """Return the latency sample of a service."""
         sample = self.latencies.get(service)
@@ -331,6 +354,24 @@
             self.latencies_of(view.entry.service).add(latency_s)
         self.log_belief_change(target_id, before, view.health, finding, is_own)
 
+    def record_leaving(self, target_id, started_ms, source):
+        """Record that a target said in an answer that it will stop.
+
+        Parameters
+        ----------
+        source : HostId
+            The host that got the answer.
+
+        Returns
+        -------
+        bool
+            Whether it was not known.
+        """
+        if not self.restrictions.mark_leaving(target_id, started_ms):
+            return False
+        events.TARGET_SAID_LEAVING.log(target=target_id, source=source)
+        return True
+
     def count_own_send(self, service, is_repeat):
         """Count a send of this host for the limit on repeats."""
         self.allowance_of(service).record(is_repeat, True, self.clock.now())
--- a/oleanderroute/host/forwarder.py
+++ b/oleanderroute/host/forwarder.py
@@ -237,8 +237,16 @@
 
     def refuse_without_target(self, exchange, unsent):
         """Refuse a request for which no target is left."""
-        reason = HostReason.TARGETS_UNREACHABLE if unsent else HostReason.NO_TARGET
-        return refusal_answer(reason, exchange.may_have_run)
+        if unsent:
+            return refusal_answer(HostReason.TARGETS_UNREACHABLE, exchange.may_have_run)
+        pause_s = self.view.min_pause_s(exchange.service)
+        if pause_s is None:
+            return refusal_answer(HostReason.NO_TARGET, exchange.may_have_run)
+        return refusal_answer(
+            HostReason.TARGETS_PAUSED,
+            exchange.may_have_run,
+            self.selector.spread_return_s(pause_s),
+        )
 
     def final_answer(self, outcome, exchange):
         """Return the target's answer, or the refusal that a failed send permits."""
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -171,6 +171,19 @@
         self.own_outbox.observations.append(observation)
         self.schedule_own(finding in URGENT)
 
+    def report_leaving(self, entry):
+        """Tell the other hosts that a target said in an answer that it will stop."""
+        self.own_outbox.observations.append(
+            Observation(
+                target_id=entry.target_id,
+                kind=int(Finding.LEAVING),
+                age_ms=0,
+                send_number=0,
+                target_started_ms=entry.started_ms,
+            )
+        )
+        self.schedule_own(is_urgent=True)
+
     def report_crash(self, notice):
         """Send a ``CrashNotice`` to the other hosts."""
         self.own_outbox.crashes.append(notice)
@@ -386,6 +399,14 @@
             return
         if observation.host_id == own_id:
             return
+        if finding is Finding.LEAVING:
+            if observation.target_started_ms is not None:
+                self.view.record_leaving(
+                    observation.target_id,
+                    observation.target_started_ms,
+                    observation.host_id,
+                )
+            return
         latency_s = None
         if observation.latency_ms is not None:
             latency_s = observation.latency_ms / 1000
--- a/oleanderroute/host/outbox.py
+++ b/oleanderroute/host/outbox.py
@@ -10,7 +10,13 @@
 # Observations that wait at a hub whose link can't carry more.
 MAX_QUEUED = 20 * MAX_OBSERVATIONS
 URGENT = frozenset(
-    {Finding.FAILED, Finding.OVERDUE, Finding.LONG_OVERDUE, Finding.UNREACHABLE}
+    {
+        Finding.FAILED,
+        Finding.OVERDUE,
+        Finding.LONG_OVERDUE,
+        Finding.UNREACHABLE,
+        Finding.LEAVING,
+    }
 )
 
 
--- a/oleanderroute/host/refusal.py
+++ b/oleanderroute/host/refusal.py
@@ -20,6 +20,7 @@
     BODY_INCOMPLETE = "body-incomplete"
     NO_TARGET = "no-target"
     NO_ROOM = "no-room"
+    TARGETS_PAUSED = "targets-asked-to-wait"
     TARGETS_REFUSED = "targets-refused"
     TARGETS_UNREACHABLE = "targets-unreachable"
     CRASH_QUARANTINE = "crash-quarantine"
@@ -39,6 +40,7 @@
     HostReason.BODY_INCOMPLETE: 400,
     HostReason.NO_TARGET: 503,
     HostReason.NO_ROOM: 503,
+    HostReason.TARGETS_PAUSED: 503,
     HostReason.TARGETS_REFUSED: 503,
     HostReason.TARGETS_UNREACHABLE: 503,
     HostReason.CRASH_QUARANTINE: 503,
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -5,6 +5,7 @@
 
 from .. import events
 from ..decisions.health import Finding
+from ..decisions.restrictions import parse_pause_s
 from ..entry.messages import OutgoingRequest, PrefixedBody
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import (
@@ -15,13 +16,15 @@
     TargetError,
 )
 from .exchange import SendRecord, SendResult
-from .findings import FIRST_SERVER_ERROR, OverdueReporter
+from .findings import FIRST_SERVER_ERROR, SHED_STATUS, OverdueReporter
 from .limited_stream import LimitedStream
 
 # These statuses tell a caller that the request did not run, which only a proof by the
 # target permits.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+MAX_LOGGED_HINT_BYTES = 40
+
 
 class SendOutcome:
     """Result of one send, with the answer or the error."""
@@ -111,6 +114,7 @@
         record.result = outcome.result
         if outcome.answer is not None:
             record.status = outcome.answer.status
+            self.apply_restrictions(exchange, entry, outcome.answer)
         if outcome.is_final:
             self.crashes.record_success(exchange)
             if not record.is_queued:
@@ -120,6 +124,32 @@
             self.limit_stream(exchange, target, record, outcome.answer)
         return outcome
 
+    def apply_restrictions(self, exchange, entry, answer):
+        """Apply what a target says in an answer about its next requests."""
+        if answer.misdirected:
+            # Another target answered, at the address of this one.
+            return
+        if answer.draining:
+            self.reporter.report_leaving(entry)
+        if answer.status != SHED_STATUS or answer.retry_after is None:
+            return
+        hint = answer.retry_after[:MAX_LOGGED_HINT_BYTES].decode("latin-1")
+        pause_s = parse_pause_s(answer.retry_after)
+        if pause_s is None:
+            events.PAUSE_REFUSED.log(
+                target=entry.target_id, request=exchange.attempt_id, hint=hint
+            )
+            return
+        self.view.restrictions.pause(
+            entry.target_id, entry.started_ms, pause_s, self.clock.now()
+        )
+        events.TARGET_PAUSED.log(
+            target=entry.target_id,
+            request=exchange.attempt_id,
+            hint=hint,
+            pause_s=pause_s,
+        )
+
     def limit_stream(self, exchange, target, record, answer):
         """End a body that is not complete at the time limit of the request."""
 
--- a/oleanderroute/peer/gen/oleander_messages/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_messages/ttypes.py
@@ -3245,6 +3245,7 @@
      - host_id
      - incarnation
      - count
+     - target_started_ms
 
     """
 
@@ -3259,10 +3260,11 @@
         'host_id',
         'incarnation',
         'count',
+        'target_started_ms',
     )
 
 
-    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None, incarnation=None, count=None,):
+    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None, incarnation=None, count=None, target_started_ms=None,):
         self.target_id = target_id
         self.kind = kind
         self.age_ms = age_ms
@@ -3273,6 +3275,7 @@
         self.host_id = host_id
         self.incarnation = incarnation
         self.count = count
+        self.target_started_ms = target_started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3333,6 +3336,11 @@
                     self.count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.target_started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3383,6 +3391,10 @@
             oprot.writeFieldBegin('count', TType.I32, 10)
             oprot.writeI32(self.count)
             oprot.writeFieldEnd()
+        if self.target_started_ms is not None:
+            oprot.writeFieldBegin('target_started_ms', TType.I64, 11)
+            oprot.writeI64(self.target_started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3770,11 +3782,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.patches = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i138 in range(_size137):
-                        _elem139 = ItemPatch()
-                        _elem139.read(iprot)
-                        self.patches.append(_elem139)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = ItemPatch()
+                        _elem131.read(iprot)
+                        self.patches.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3811,15 +3823,15 @@
         if self.observations is not None:
             oprot.writeFieldBegin('observations', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.observations))
-            for iter126 in self.observations:
-                iter126.write(oprot)
+            for iter132 in self.observations:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter127 in self.crashes:
-                iter127.write(oprot)
+            for iter133 in self.crashes:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes_after is not None:
@@ -3829,15 +3841,15 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter128 in self.changes:
-                iter128.write(oprot)
+            for iter134 in self.changes:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter129 in self.heard:
-                oprot.writeString(iter129.encode('utf-8') if sys.version_info[0] == 2 else iter129)
+            for iter135 in self.heard:
+                oprot.writeString(iter135.encode('utf-8') if sys.version_info[0] == 2 else iter135)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_lost is not None:
@@ -3851,8 +3863,8 @@
         if self.patches is not None:
             oprot.writeFieldBegin('patches', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.patches))
-            for iter141 in self.patches:
-                iter141.write(oprot)
+            for iter136 in self.patches:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3931,11 +3943,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.bases = {}
-                    (_ktype143, _vtype144, _size142) = iprot.readMapBegin()
-                    for _i145 in range(_size142):
-                        _key146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val147 = iprot.readI64()
-                        self.bases[_key146] = _val147
+                    (_ktype138, _vtype139, _size137) = iprot.readMapBegin()
+                    for _i141 in range(_size137):
+                        _key142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val143 = iprot.readI64()
+                        self.bases[_key142] = _val143
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3960,9 +3972,9 @@
         if self.bases is not None:
             oprot.writeFieldBegin('bases', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.bases))
-            for kiter148, viter149 in self.bases.items():
-                oprot.writeString(kiter148.encode('utf-8') if sys.version_info[0] == 2 else kiter148)
-                oprot.writeI64(viter149)
+            for kiter144, viter145 in self.bases.items():
+                oprot.writeString(kiter144.encode('utf-8') if sys.version_info[0] == 2 else kiter144)
+                oprot.writeI64(viter145)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4043,22 +4055,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = ItemChange()
-                        _elem135.read(iprot)
-                        self.items.append(_elem135)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = ItemChange()
+                        _elem151.read(iprot)
+                        self.items.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.patches = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i151 in range(_size150):
-                        _elem152 = ItemPatch()
-                        _elem152.read(iprot)
-                        self.patches.append(_elem152)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = ItemPatch()
+                        _elem157.read(iprot)
+                        self.patches.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4088,15 +4100,15 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter136 in self.items:
-                iter136.write(oprot)
+            for iter158 in self.items:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patches is not None:
             oprot.writeFieldBegin('patches', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.patches))
-            for iter154 in self.patches:
-                iter154.write(oprot)
+            for iter159 in self.patches:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.packed is not None:
@@ -4370,6 +4382,7 @@
     (8, TType.STRING, 'host_id', 'UTF8', None, ),  # 8
     (9, TType.I16, 'incarnation', None, None, ),  # 9
     (10, TType.I32, 'count', None, None, ),  # 10
+    (11, TType.I64, 'target_started_ms', None, None, ),  # 11
 )
 all_structs.append(ItemChange)
 ItemChange.thrift_spec = (
--- a/oleanderroute/platform/headers.py
+++ b/oleanderroute/platform/headers.py
@@ -7,6 +7,10 @@
 REMAINING_MS = b"x-deadline-remaining"
 EXPECTED_INSTANCE = b"x-expected-instance"
 NOT_EXECUTED = b"x-not-executed"
+# A target that will stop sends this with the value 1 in all its answers.
+LEAVING = b"server-leaving"
+# With 503, the seconds in which the target wants no request from the same host.
+RETRY_AFTER = b"retry-after"
 # Path of the load balancer's readiness check.
 READINESS_PATH = "/readiness"
 # Its value has the form "running,waiting,slots".
@@ -22,7 +26,9 @@
 class PlatformDialect(TargetDialect):
     """Interprets the platform's headers on a target's answer."""
 
-    header_names = frozenset({NOT_EXECUTED, BACKEND_LOAD, ATTEMPT_ID})
+    header_names = frozenset(
+        {NOT_EXECUTED, BACKEND_LOAD, ATTEMPT_ID, LEAVING, RETRY_AFTER}
+    )
     close_ends_answer = True
 
     def read_header(self, answer, name, value):
@@ -31,6 +37,10 @@
             answer.not_started = True
         elif name == BACKEND_LOAD:
             answer.load = parse_load(value)
+        elif name == LEAVING:
+            answer.draining = value == b"1"
+        elif name == RETRY_AFTER:
+            answer.retry_after = value
         else:
             answer.echoed_id = value
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -2,8 +2,9 @@
 
 Run it as ``python -m standins.platform_target --store ADDRESS --id ID --service NAME``.
 A request whose path ends in ``/~MODE`` is treated in that mode: ``hang``, ``shed``,
-``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven``, ``slow``
-or ``crash``. The modes in ``ENDLESS`` send bytes until the connection is closed.
+``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven``, ``slow``,
+``leaving``, ``pause`` or ``crash``. The modes in ``ENDLESS`` send bytes until the
+connection is closed.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
 SLOW_S = 0.3
 CRASHED = 70
 SLOTS = 2
+PAUSE_S = 1.5
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Of each mode without end: how the answer begins, and what is sent again and again.
 PIECE = 64 * 1024
@@ -55,6 +57,8 @@
         self.runs = []
         # Attempt id and Unix time of the runs whose connection was closed meanwhile.
         self.cancelled = []
+        # Unix time of each request that was turned away.
+        self.turned_away = []
         self.connections = 0
         # Only slow requests queue for a slot.
         self.slots = asyncio.Semaphore(SLOTS)
@@ -81,6 +85,9 @@
         if path == "/control/runs":
             self.write(writer, 200, headers, json.dumps(self.runs).encode())
             return True
+        if path == "/control/turned-away":
+            self.write(writer, 200, headers, json.dumps(self.turned_away).encode())
+            return True
         if path == "/control/cancelled":
             self.write(writer, 200, headers, json.dumps(self.cancelled).encode())
             return True
@@ -93,8 +100,10 @@
         if expected not in (None, self.target_id):
             self.write(writer, 421, headers, b"", instance=True)
             return True
-        if mode == "shed":
-            self.write(writer, 503, headers, b"", not_executed=True)
+        if mode in ("shed", "pause"):
+            self.turned_away.append(time.time())
+            extra = [f"Retry-After: {PAUSE_S}"] if mode == "pause" else []
+            self.write(writer, 503, headers, b"", not_executed=True, extra=extra)
             return True
         attempt_id = headers.get("x-attempt-id", "")
         self.runs.append([attempt_id, method, path, len(body), expected])
@@ -140,10 +149,20 @@
             await writer.drain()
             await asyncio.sleep(0.02)
         status = {"error": 500, "unproven": 503}.get(mode, 200)
-        self.write(writer, status, headers, content)
+        extra = ["Server-Leaving: 1"] if mode == "leaving" else []
+        self.write(writer, status, headers, content, extra=extra)
         return True
 
-    def write(self, writer, status, headers, body, not_executed=False, instance=False):
+    def write(
+        self,
+        writer,
+        status,
+        headers,
+        body,
+        not_executed=False,
+        instance=False,
+        extra=(),
+    ):
         """Write one answer."""
         lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
         if "x-attempt-id" in headers:
@@ -155,6 +174,7 @@
         else:
             lines.append(f"X-Response-Seal: {SEAL}")
         lines.append(f"X-Backend-Load: 0,0,{SLOTS}")
+        lines += extra
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
