Bound what findings and targets cost a host: datagrams, log lines, candidates

Tests: 'Wake-ups and log lines of a host stay bounded' fails in both rows with the earlier intervals and lines; 'A choice considers a bounded number of targets'.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -75,6 +75,11 @@
     And host decisions: a target that is believed gray gets no order while others are sound
     And host decisions: idempotent requests go first to the target that was silent for longest
 
+  # Guards against work for each request that grows with the targets of its service, and
+  # against targets that are never considered.
+  Scenario: host decisions: A choice considers a bounded number of targets
+    Then host decisions: of 1000 targets a choice considers at most 40, connected ones among them, and each in turn
+
   # Guards against requests on a route that is not the longest prefix.
   Scenario: host decisions: The longest prefix wins
     Then host decisions: routes agree with a scan over all prefixes
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -404,6 +404,28 @@
     check()
 
 
+@then(
+    "host decisions: of {count:d} targets a choice considers at most {most:d}, "
+    "connected ones among them, and each in turn"
+)
+def step_sample(context, count, most):
+    views = [TargetView(entry(f"t{n}"), TargetHealth(0.0)) for n in range(count)]
+    connected = {"t3", "t500", "t999"}
+    selector = Selector("a", random.Random(count))
+    seen = Counter()
+    for _ in range(count):
+        sampled = [
+            view.entry.target_id
+            for view in selector.sample(views, lambda target_id: target_id in connected)
+        ]
+        assert len(sampled) == len(set(sampled)) <= most, sampled
+        assert connected <= set(sampled), sampled
+        seen.update(sampled)
+    assert len(seen) == count, count - len(seen)
+    few = views[:20]
+    assert selector.sample(few, lambda target_id: False) == few
+
+
 # Documents
 
 READERS = {
--- a/features/steps/thin_links_steps.py
+++ b/features/steps/thin_links_steps.py
@@ -6,6 +6,7 @@
 
 import orjson
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 
 from features.steps.host_sends_steps import NO_CRASHES
 from features.support.platform_fleet import ROUTES, configuration, route
@@ -16,7 +17,15 @@
 from oleanderroute.host.exchange import Exchange
 from oleanderroute.host.findings import FindingReporter
 from oleanderroute.host.forwarder import RequestForwarder
+from oleanderroute.host.gossip import (
+    HUB_BATCH_DELAY_S,
+    HUB_HEARTBEAT_INTERVAL_S,
+    LIVE_LIST_INTERVAL_S,
+    MAX_HUB_DATAGRAMS_PER_S,
+    URGENT_INTERVAL_SHARE,
+)
 from oleanderroute.host.model import Destination, HostRoute, Repeatability
+from oleanderroute.host.outbox import MAX_OBSERVATIONS
 from oleanderroute.host.target_sender import TargetSender
 from oleanderroute.platform.kv import KvClient
 
@@ -222,9 +231,16 @@
 def step_refusing(context, per_s, calm_s, refusing_s):
     fleet = context.fleet
     fleet.requests = []
+    context.traffic_s = calm_s + refusing_s
+    context.received_before = {}
+    context.log_lines = []
 
     async def scenario():
         await asyncio.sleep(SETTLE_S)
+        for host_id, host in fleet.hosts.items():
+            context.received_before[host_id] = host.gossip.received.datagrams
+        add_destinations(context.log_lines.append)
+        context.add_cleanup(remove_destination, context.log_lines.append)
         until = fleet.loop.now + calm_s + refusing_s
         callers = []
         for host in fleet.hosts.values():
@@ -235,6 +251,37 @@
     fleet.run(scenario())
 
 
+@then(
+    "thin links: no host gets more datagrams of its hub than the intervals of the hub "
+    "permit"
+)
+def step_few_datagrams(context):
+    fleet = context.fleet
+    members = len(fleet.hosts) - 1
+    interval_s = max(HUB_BATCH_DELAY_S, members / MAX_HUB_DATAGRAMS_PER_S)
+    # Each send has up to four findings: its start, its end and two overdue ones.
+    # What does not fit in one datagram follows in others.
+    full_per_s = 4 * len(fleet.arrivals) / context.traffic_s / MAX_OBSERVATIONS
+    heartbeats_per_s = 1.0 / HUB_HEARTBEAT_INTERVAL_S + 1.0 / LIVE_LIST_INTERVAL_S
+    bound = 1.0 / (URGENT_INTERVAL_SHARE * interval_s) + full_per_s + heartbeats_per_s
+    for host_id, host in fleet.hosts.items():
+        if host.gossip.membership.is_hub:
+            continue
+        received = host.gossip.received.datagrams - context.received_before[host_id]
+        assert received / context.traffic_s <= bound, (host_id, received, bound)
+
+
+@then(
+    "thin links: no host writes more than {per_request:d} log lines a request and "
+    "{per_s:d} a second"
+)
+def step_few_lines(context, per_request, per_s):
+    hosts = len(context.fleet.hosts)
+    bound = per_request * len(context.fleet.requests) / hosts
+    bound += per_s * context.traffic_s
+    assert len(context.log_lines) / hosts <= bound, (len(context.log_lines), bound)
+
+
 @then("thin links: the repeats of all hosts stay within the limit")
 def step_within_limit(context):
     fleet = context.fleet
--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -54,3 +54,16 @@
     Then thin links: the repeats of all hosts stay within the limit
     And thin links: at most 0.01 of the datagrams are lost, and one host is the hub
     And thin links: each host has counted at least 0.8 of the sends in the window
+
+  # Guards against hosts that spend their processor on datagrams and log lines of the
+  # other hosts (days of 90 hosts and more were given up for processor time).
+  Scenario Outline: Wake-ups and log lines of a host stay bounded among <hosts> hosts
+    Given thin links: 1 failure domain of <hosts> hosts on 100 Mbit/s links, with 40 targets
+    When thin links: each host gets 4 requests a second, and after 2 s targets refuse half for 4 s
+    Then thin links: no host gets more datagrams of its hub than the intervals of the hub permit
+    And thin links: no host writes more than 4 log lines a request and 10 a second
+
+    Examples:
+      | hosts |
+      | 24    |
+      | 72    |
--- a/oleanderroute/decisions/hubs.py
+++ b/oleanderroute/decisions/hubs.py
@@ -71,7 +71,7 @@
         is_other = self.hub is not None and self.hub != self.own_id
         if is_other and now - self.hub_last_seen_at > HUB_TIMEOUT_S:
             self.avoided_until[self.hub] = now + HUB_AVOIDANCE_S
-        if links != self.ranked_links:
+        if links is not self.ranked_links and links != self.ranked_links:
             self.ranked_links = links
             self.ranked = rank_by_link(self.key, links)
         hub = self.first_usable(self.ranked, now)
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -24,6 +24,10 @@
 HEALTHY_FAILURE_PROBABILITY = 0.5
 # A remote send without a reported end is dropped from the count after this time.
 REMOTE_SEND_TIMEOUT_S = 1.0
+# Targets among which a request's target is chosen: some at random, and some to which
+# the host has an idle connection.
+MAX_CANDIDATES = 32
+MAX_CONNECTED_CANDIDATES = 8
 # Callers return within this share of the time they are told to wait, and at least this
 # time, after its end.
 RETURN_SPREAD_SHARE = 0.5
@@ -145,6 +149,30 @@
         self.failure_domain = failure_domain
         self.rng = rng
 
+    def sample(self, views, is_connected):
+        """Return some of the targets at random, and some with idle connections.
+
+        The work for a request then does not grow with the targets of its service.
+
+        Parameters
+        ----------
+        views : list of TargetView
+        is_connected : callable
+            Takes a target id; returns whether an idle connection to it is open.
+        """
+        if len(views) <= MAX_CANDIDATES:
+            return views
+        sampled = self.rng.sample(views, MAX_CANDIDATES)
+        sampled_ids = {view.entry.target_id for view in sampled}
+        connected = []
+        for view in views:
+            target_id = view.entry.target_id
+            if target_id not in sampled_ids and is_connected(target_id):
+                connected.append(view)
+        if len(connected) > MAX_CONNECTED_CANDIDATES:
+            connected = self.rng.sample(connected, MAX_CONNECTED_CANDIDATES)
+        return sampled + connected
+
     def expected_loss(self, view, latencies: LatencySample, request_profile, now):
         """Return the expected share of a request's credit lost at a target."""
         objective_s = request_profile.objective_s
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -556,9 +556,16 @@
 TARGET_BELIEF_CHANGED = define(
     645,
     "target_belief_changed",
-    "A target is now thought to be in a gray phase, or out of it.",
+    "A request of this host changed whether its target is thought to be gray.",
     Level.INFO,
-    ("target", "gray", "cut", "finding", "own"),
+    ("target", "gray", "cut", "finding"),
+)
+BELIEFS_COUNTED = define(
+    651,
+    "beliefs_counted",
+    "Targets that are thought to be gray, and changes of that in the last interval.",
+    Level.INFO,
+    ("targets", "gray", "changes"),
 )
 FINGERPRINT_QUARANTINED = define(
     646,
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -46,14 +46,20 @@
         self.targets = {}
         self.services = {}
         self.hosts = {}
+        # How often ``hosts`` has changed.
+        self.hosts_changes = 0
         self.lapsed_hosts = set()
         # When the last datagram of each other host arrived, in monotonic seconds.
         self.last_seen_at = {}
+        # The limit in force for each target of a service.
+        self.connection_limits = {}
         self.latencies = {}
         self.queues = {}
         self.allowances = {}
         self.remote_counts = RemoteSendCounts()
         self.restrictions = TargetRestrictions()
+        # Crossings of a gray probability of 0.5 since the start.
+        self.belief_changes = 0
         self.started_at = clock.now()
         self.store_recovered_at = float("-inf")
         # Targets whose entry was removed while the store was recovering, and the time
@@ -211,6 +217,7 @@
             events.HOST_ENTRY_REFUSED.log(host=host_id, reason=str(error))
             return
         self.hosts[host_id] = host
+        self.hosts_changes += 1
         self.lapsed_hosts.discard(host_id)
         self.update_limits()
 
@@ -222,6 +229,7 @@
                 continue
             self.lapsed_hosts.discard(host_id)
             if self.hosts.pop(host_id, None) is not None:
+                self.hosts_changes += 1
                 self.update_limits()
 
     def is_registered(self):
@@ -247,9 +255,13 @@
 
     def update_limits(self):
         """Divide the connection limits of the targets among the known hosts."""
-        for target_id, view in self.targets.items():
-            limit = self.connection_limit(view.entry.service)
-            self.pool.set_connection_limit(target_id, limit)
+        for service, views in self.services.items():
+            limit = self.connection_limit(service)
+            if limit == self.connection_limits.get(service):
+                continue
+            self.connection_limits[service] = limit
+            for target_id in views:
+                self.pool.set_connection_limit(target_id, limit)
 
     # Queries of the request path
 
@@ -352,7 +364,7 @@
             view.reported_at = now
         if latency_s is not None:
             self.latencies_of(view.entry.service).add(latency_s)
-        self.log_belief_change(target_id, before, view.health, finding, is_own)
+        self.record_belief_change(target_id, before, view.health, finding, is_own)
 
     def record_leaving(self, target_id, started_ms, source):
         """Record that a target said in an answer that it will stop.
@@ -393,14 +405,27 @@
             )
         self.allowance_of(service).record(is_repeat, False, now, amount)
 
-    def log_belief_change(self, target_id, before, health, finding, is_own):
-        """Log when the gray probability of a target crosses 0.5."""
+    def record_belief_change(self, target_id, before, health, finding, is_own):
+        """Count, and log for own findings, when a gray probability crosses 0.5.
+
+        Findings of other hosts are in the logs of these hosts; a line on each host for
+        each of them would grow with the fleet.
+        """
         if (before > 0.5) == (health.gray_probability > 0.5):
             return
-        events.TARGET_BELIEF_CHANGED.log(
-            target=target_id,
-            gray=round(health.gray_probability, 3),
-            cut=round(health.path_down_probability, 3),
-            finding=finding.name.lower(),
-            own=is_own,
-        )
+        self.belief_changes += 1
+        if is_own:
+            events.TARGET_BELIEF_CHANGED.log(
+                target=target_id,
+                gray=round(health.gray_probability, 3),
+                cut=round(health.path_down_probability, 3),
+                finding=finding.name.lower(),
+            )
+
+    def count_gray_targets(self):
+        """Return how many targets are estimated to be in a gray phase."""
+        count = 0
+        for view in self.targets.values():
+            if view.health.gray_probability > 0.5:
+                count += 1
+        return count
--- a/oleanderroute/host/forwarder.py
+++ b/oleanderroute/host/forwarder.py
@@ -176,12 +176,12 @@
     # Choice of targets
 
     def candidates(self, exchange):
-        """Return the targets that a request may be sent to next."""
+        """Return targets that a request may be sent to next."""
         found = []
         for view in self.view.usable_targets(exchange.service):
             if view.entry.target_id not in exchange.tried_targets:
                 found.append(view)
-        return found
+        return self.selector.sample(found, self.pool.has_idle)
 
     def choose_first(self, exchange):
         """Choose a target for an idempotent request.
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -17,10 +17,13 @@
 from .outbox import URGENT, Outbox, TrafficCount
 from .patches import PatchMaker, restore_items
 
-# Delays of batches of findings, at the host that made them and at a hub. Urgent
-# findings are sent without a delay.
+# Delays of batches of findings, at the host that made them and, at the least, at a hub.
 BATCH_DELAY_S = 0.01
 HUB_BATCH_DELAY_S = 0.02
+# Datagrams with findings that a hub sends to its failure domain; with more hosts it
+# forwards less often, and each host wakes up less often.
+MAX_HUB_DATAGRAMS_PER_S = 1000
+URGENT_INTERVAL_SHARE = 0.25
 # Heartbeat interval from a host that sends nothing else to its hub.
 HEARTBEAT_INTERVAL_S = 0.4
 # Well below ``HUB_TIMEOUT_S``, after which a silent hub is avoided.
@@ -67,6 +70,8 @@
         self.timers = {}
         self.turn = 0
         self.sent_at = 0.0
+        # When this host, as a hub, last forwarded findings to its domain.
+        self.forwarded_at = float("-inf")
         self.live_list_sent_at = 0.0
         self.sent = TrafficCount()
         self.received = TrafficCount()
@@ -203,21 +208,33 @@
 
     def schedule_forward(self, is_urgent):
         """Schedule the forwarding of what a hub has queued, at once or in a batch."""
-        delay_s = 0.0 if is_urgent else HUB_BATCH_DELAY_S
-        delay_s = max(delay_s, self.link_wait_s())
+        delay_s = max(self.forward_wait_s(is_urgent), self.link_wait_s())
         if not self.domain_outbox.is_empty():
             self.schedule_flush(self.flush_to_domain, delay_s)
         if not self.hub_outbox.is_empty():
             self.schedule_flush(self.flush_to_hubs, delay_s)
 
+    def forward_wait_s(self, is_urgent):
+        """Return the seconds until a hub may forward findings again.
+
+        The interval grows with the hosts of the domain, so that the datagrams of a hub
+        do not. Urgent findings wait for a share of it after the last datagrams.
+        """
+        members = len(self.membership.hosts_of(self.settings.failure_domain))
+        interval_s = max(HUB_BATCH_DELAY_S, members / MAX_HUB_DATAGRAMS_PER_S)
+        if not is_urgent:
+            return interval_s
+        ready_at = self.forwarded_at + URGENT_INTERVAL_SHARE * interval_s
+        return max(0.0, ready_at - self.clock.now())
+
     def schedule_flush(self, flush, delay_s):
         """Call ``flush`` after a delay unless an earlier call is scheduled."""
+        loop = asyncio.get_running_loop()
         timer = self.timers.get(flush)
         if timer is not None:
-            if delay_s > 0.0:
+            if timer.when() <= loop.time() + delay_s:
                 return
             timer.cancel()
-        loop = asyncio.get_running_loop()
         self.timers[flush] = loop.call_later(delay_s, flush)
 
     def flush_to_own_hub(self, is_heartbeat=False):
@@ -248,6 +265,7 @@
                 return
             message = self.make_message(self.domain_outbox, to_hub=False)
             self.send(message, self.take_turns(members))
+            self.forwarded_at = self.clock.now()
 
     def link_wait_s(self):
         """Return the seconds until this hub may forward; crashes never wait."""
--- a/oleanderroute/host/membership.py
+++ b/oleanderroute/host/membership.py
@@ -5,6 +5,8 @@
 
 # A host that was not seen for this time is not counted as live.
 HOST_TIMEOUT_S = 2.0
+# Every repeat asks for the number of live hosts.
+LIVE_COUNT_INTERVAL_S = 0.1
 
 
 class GossipMembership:
@@ -38,6 +40,12 @@
         # Whether each other host last reported that its calls to the store fail.
         self.store_lost_by_host = {}
         self.watcher = None
+        # Other hosts and their links by failure domain, as of a state of the view.
+        self.domains = {}
+        self.links = {}
+        self.domains_state = None
+        self.live_count = 1
+        self.live_counted_at = float("-inf")
 
     @property
     def settings(self):
@@ -72,39 +80,60 @@
     def hub_of(self, failure_domain):
         """Return the ``PeerHost`` that is the hub of a domain; None for this host."""
         hosts = self.hosts_of(failure_domain)
-        own = self.settings
-        own_id = own.host_id if failure_domain == own.failure_domain else None
         choice = self.hubs.get(failure_domain)
         if choice is None:
+            own = self.settings
+            own_id = own.host_id if failure_domain == own.failure_domain else None
             choice = self.hubs[failure_domain] = HubChoice(failure_domain, own_id)
-        links = {host_id: host.link_mbps for host_id, host in hosts.items()}
-        if own_id is not None:
-            links[own_id] = own.link_mbps
+        links = self.links.get(failure_domain, {})
         return hosts.get(choice.choose(links, self.clock.now()))
 
     def hosts_of(self, failure_domain):
         """Return the other hosts of a failure domain by id."""
-        own_id = self.settings.host_id
-        found = {}
+        self.update_domains()
+        return self.domains.get(failure_domain, {})
+
+    def update_domains(self):
+        """Divide the hosts by failure domain again if any has changed."""
+        own = self.settings
+        state = (self.view.hosts_changes, own)
+        if state == self.domains_state:
+            return
+        self.domains_state = state
+        self.domains = {}
+        self.links = {own.failure_domain: {own.host_id: own.link_mbps}}
         for host in self.view.hosts.values():
-            if host.failure_domain == failure_domain and host.host_id != own_id:
-                found[host.host_id] = host
-        return found
+            if host.host_id == own.host_id:
+                continue
+            domain = host.failure_domain
+            self.domains.setdefault(domain, {})[host.host_id] = host
+            self.links.setdefault(domain, {})[host.host_id] = host.link_mbps
 
     def other_hubs(self):
         """Return the hubs of the other failure domains."""
-        domains = {host.failure_domain for host in self.view.hosts.values()}
-        domains.discard(self.settings.failure_domain)
+        self.update_domains()
         found = []
-        for domain in domains:
+        for domain in list(self.domains):
+            if domain == self.settings.failure_domain:
+                continue
             hub = self.hub_of(domain)
             if hub is not None:
                 found.append(hub)
         return found
 
     def live_host_count(self):
-        """Return the number of live hosts, including this host."""
+        """Return the number of live hosts, including this host.
+
+        It is counted again after ``LIVE_COUNT_INTERVAL_S``.
+        """
         now = self.clock.now()
+        if now - self.live_counted_at >= LIVE_COUNT_INTERVAL_S:
+            self.live_counted_at = now
+            self.live_count = self.count_live_hosts(now)
+        return self.live_count
+
+    def count_live_hosts(self, now):
+        """Count the live hosts, including this host."""
         count = 1
         for host_id in self.view.hosts:
             if host_id != self.settings.host_id and self.is_alive(host_id, now):
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -22,6 +22,7 @@
         self.due_at = view.started_at + SUMMARY_INTERVAL_S
         self.sent = (0, 0)
         self.received = (0, 0)
+        self.belief_changes = 0
 
     def update(self, now):
         """Write the lines and set the metrics if the interval has passed."""
@@ -29,6 +30,7 @@
             return
         self.due_at = now + SUMMARY_INTERVAL_S
         self.summarize_gossip()
+        self.summarize_beliefs()
         for service, allowance in self.view.allowances.items():
             self.summarize_repeats(service, allowance, now)
 
@@ -47,6 +49,16 @@
         self.metrics.gossip_bytes.set({"direction": "sent"}, sent.size)
         self.metrics.gossip_bytes.set({"direction": "received"}, received.size)
 
+    def summarize_beliefs(self):
+        """Log how many targets are thought to be gray, and the changes of that."""
+        changes = self.view.belief_changes
+        events.BELIEFS_COUNTED.log(
+            targets=len(self.view.targets),
+            gray=self.view.count_gray_targets(),
+            changes=changes - self.belief_changes,
+        )
+        self.belief_changes = changes
+
     def summarize_repeats(self, service, allowance, now):
         """Log how many sends to a service are counted in the window."""
         live = self.gossip.membership.live_host_count()
