Load less at the start of a host: own message module, pages for scrapers on demand

The generated classes of the earlier daemon's messages (54 ms) and falcon with what it imports (71 ms) were loaded by every host. The host's own messages now have their own IDL file (same fields, same encoding); falcon is loaded, in a thread, by the first request for a page. The readiness check needs neither.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,4 @@
 # Needs Debian's thrift-compiler; the output is committed.
 idl:
 	thrift --gen py:slots --out oleanderroute/peer/gen -r idl/oleanderroute.thrift
+	thrift --gen py:slots --out oleanderroute/peer/gen -r idl/gossip.thrift
--- a/bench/slopes_messages.py
+++ b/bench/slopes_messages.py
@@ -5,12 +5,11 @@
 import orjson
 
 from oleanderroute.declaration.chunks import Change, split
-from oleanderroute.peer.codec import (
-    FRAME_LENGTH,
+from oleanderroute.peer.codec import FRAME_LENGTH, encode_frame
+from oleanderroute.peer.envelope import (
     HeaderState,
     decode_reply,
     decode_request,
-    encode_frame,
     make_header,
 )
 from oleanderroute.peer.gen.oleander_messages.ttypes import (
--- a/bench/slopes_serving.py
+++ b/bench/slopes_serving.py
@@ -4,7 +4,7 @@
 
 from oleanderroute.entry.target_pool import TargetPool
 from oleanderroute.metrics import Metrics
-from oleanderroute.peer.codec import PeerIdentity
+from oleanderroute.peer.envelope import PeerIdentity
 from oleanderroute.serving import Serving
 
 FLEET = "fleet"
--- a/features/configuration_fakes.py
+++ b/features/configuration_fakes.py
@@ -11,7 +11,7 @@
 from oleanderroute.errors import PeerUnreachable, StoreConflict, StoreUnavailable
 from oleanderroute.metrics import Metrics
 from oleanderroute.peer.client import PeerClient
-from oleanderroute.peer.codec import HeaderState, PeerIdentity, make_header
+from oleanderroute.peer.envelope import HeaderState, PeerIdentity, make_header
 from oleanderroute.peer.links import LinkFilter
 from oleanderroute.peer.server import PeerServer
 from oleanderroute.platform.hostlist import (
--- a/features/steps/bootstrap_steps.py
+++ b/features/steps/bootstrap_steps.py
@@ -11,7 +11,7 @@
 from oleanderroute.decisions.claims import CLAIM_LIFETIME_S, HolderView
 from oleanderroute.decisions.ranking import rank
 from oleanderroute.errors import PeerTimeout, StoreConflict
-from oleanderroute.peer.codec import PeerIdentity
+from oleanderroute.peer.envelope import PeerIdentity
 from oleanderroute.platform.hostlist import HostEntry, MemberState
 from oleanderroute.tasks.bootstrap import BootstrapTask
 
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -40,7 +40,7 @@
 from oleanderroute.host.outbox import Outbox
 from oleanderroute.host.routes import PrefixRoutes
 from oleanderroute.peer.codec import encode_message
-from oleanderroute.peer.gen.oleander_messages.ttypes import (
+from oleanderroute.peer.gen.oleander_gossip.ttypes import (
     CrashNotice,
     Gossip,
     Observation,
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -7,12 +7,11 @@
 from behave import given, then, when
 
 from oleanderroute.metrics import Metrics
-from oleanderroute.peer.codec import (
-    FRAME_LENGTH,
+from oleanderroute.peer.codec import FRAME_LENGTH, encode_frame
+from oleanderroute.peer.envelope import (
     HeaderState,
     PeerIdentity,
     decode_reply,
-    encode_frame,
     make_header,
 )
 from oleanderroute.peer.gen.oleander_messages.ttypes import (
--- /dev/null
+++ b/idl/gossip.thrift
@@ -0,0 +1,98 @@
+// Messages between the hosts of the users' platform. A module of their own, since the
+// generated classes take time at each start of a process.
+
+namespace py oleander_gossip
+
+// News of a request that ended a target.
+struct CrashNotice {
+  1: required string service_name
+  2: required string fingerprint
+  // One target that crashed, or all of them once the fingerprint is refused. Empty if
+  // a target has since served such a request.
+  3: required list<string> target_ids
+  // Milliseconds since the request was sent, and since its connection broke.
+  4: optional i32 sent_ms
+  5: optional i32 broke_ms
+}
+
+// One finding about a target, from one host's own requests.
+struct Observation {
+  1: required string target_id
+  2: required i16 kind
+  // Milliseconds since the request was sent.
+  3: required i32 age_ms
+  4: optional i32 latency_ms
+  // Requests that run and wait at the target, and its slots.
+  5: optional i16 in_system
+  6: optional i16 slots
+  // Number of the send at the observing host; matches its start with its end.
+  7: required i32 send_number
+  // The observing host, if it is not the sender of the datagram.
+  8: optional string host_id
+  // At the start of a send: the process of the observing host, drawn at its start, and
+  // how many first sends, or resends, to the service it has begun.
+  9: optional i16 incarnation
+  10: optional i32 count
+  // Of a target that is leaving: the start of its process, in Unix milliseconds.
+  11: optional i64 target_started_ms
+}
+
+// A key of the platform's store; a removed key has no value.
+struct ItemChange {
+  1: required string key
+  2: required i64 revision
+  3: optional binary value
+}
+
+// A new value of a key, as its compressed difference to an older value of that key.
+struct ItemPatch {
+  1: required string key
+  2: required i64 revision
+  // Revision of the older value; 0 if the value is only compressed.
+  3: required i64 base_revision
+  4: required binary patch
+}
+
+// Datagram between hosts. Members send theirs to the hub of their failure domain,
+// which forwards them in batches.
+struct Gossip {
+  1: required string host_id
+  2: required string failure_domain
+  // Whether the receiver is to forward it as a hub.
+  3: required bool to_hub
+  // Revision of the store up to which the sender has followed all changes.
+  4: required i64 revision
+  // Milliseconds since the store confirmed this revision to any host.
+  5: optional i32 confirmed_ms
+  6: optional list<Observation> observations
+  7: optional list<CrashNotice> crashes
+  // Revision after which the changes start, up to revision; both are set if they fit.
+  8: optional i64 changes_after
+  9: optional list<ItemChange> changes
+  // Hosts from which the sender, a hub, has recently received a datagram.
+  10: optional list<string> heard
+  // Whether the sender's calls to the store fail.
+  11: optional bool store_lost
+  // The host that the sender, a hub, appoints to watch the store.
+  12: optional string watcher
+  // Large values among the changes after changes_after.
+  13: optional list<ItemPatch> patches
+}
+
+struct CopyRequest {
+  1: required string host_id
+  2: required i64 after_revision
+  // Revisions of the large values that the requester has; without it, the reply holds
+  // no patches and is not packed.
+  3: optional map<string, i64> bases
+}
+
+struct CopyReply {
+  1: required i64 revision
+  // Whether items holds all keys rather than only the changed ones.
+  2: required bool is_complete
+  3: required list<ItemChange> items
+  4: optional list<ItemPatch> patches
+  // The compressed encoding of a CopyReply that replaces items and patches.
+  5: optional binary packed
+}
--- a/oleanderroute/assembly.py
+++ b/oleanderroute/assembly.py
@@ -18,7 +18,7 @@
 from .operator.burn import BurnLedger
 from .operator.incidents import IncidentLog
 from .peer.client import PeerClient
-from .peer.codec import PeerIdentity
+from .peer.envelope import PeerIdentity
 from .peer.links import LinkFilter
 from .peer.server import PeerServer
 from .platform.hostlist import HostEntry, MemberState
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -20,7 +20,7 @@
 from .operator.gauges import refresh
 from .operator.hostreport import host_report
 from .operator.server import OperatorServer, make_application
-from .peer.codec import HeaderState, make_header
+from .peer.envelope import HeaderState, make_header
 from .peer.gen.oleander_messages.ttypes import StatusReply
 from .settings import load_settings
 from .tasks.base import supervise
--- a/oleanderroute/host/application.py
+++ b/oleanderroute/host/application.py
@@ -1,9 +1,8 @@
 """ASGI applications of a host: callers, readiness and metrics."""
 
-import falcon.asgi
+import asyncio
 
 from ..entry.app import CallerApplication
-from ..operator.exposition import metrics_page, page_headers
 
 
 class HostApplication(CallerApplication):
@@ -14,33 +13,43 @@
         return list(answer.headers)
 
 
-class Readiness:
-    """Readiness endpoint for the load balancer."""
+class StatusApplication:
+    """Answers the load balancer's readiness check, and passes other paths on.
 
-    def __init__(self, is_ready):
-        self.is_ready = is_ready
-
-    async def on_get(self, request, response):
-        """Answer 200 if the host accepts new connections, else 503."""
-        response.status = 200 if self.is_ready() else 503
+    The pages for scrapers are built with their first request: a host that has just
+    started is needed by callers before it is needed by scrapers.
 
+    Parameters
+    ----------
+    readiness_path : str
+    is_ready : callable
+    metrics : HostMetrics
+    """
 
-class MetricsPage:
-    """Metrics endpoint for scrapers."""
-
-    def __init__(self, metrics):
+    def __init__(self, readiness_path, is_ready, metrics):
+        self.readiness_path = readiness_path
+        self.is_ready = is_ready
         self.metrics = metrics
-
-    async def on_get(self, request, response):
-        """Answer the metrics in the Prometheus text format."""
-        response.data = await metrics_page(self.metrics.registry)
-        for name, value in page_headers().items():
-            response.set_header(name, value)
-
-
-def status_application(readiness_path, is_ready, metrics):
-    """Build the application of the readiness port."""
-    application = falcon.asgi.App()
-    application.add_route(readiness_path, Readiness(is_ready))
-    application.add_route("/metrics", MetricsPage(metrics))
-    return application
+        self.pages = None
+
+    async def __call__(self, scope, receive, send):
+        """Handle one request."""
+        if scope["type"] == "http" and scope["path"] == self.readiness_path:
+            status = 200 if self.is_ready() else 503
+            headers = [(b"content-length", b"0")]
+            await send(
+                {"type": "http.response.start", "status": status, "headers": headers}
+            )
+            await send({"type": "http.response.body", "body": b""})
+            return
+        if self.pages is None:
+            # In a thread, as the import takes long enough to delay callers.
+            self.pages = await asyncio.to_thread(build_pages, self.metrics)
+        await self.pages(scope, receive, send)
+
+
+def build_pages(metrics):
+    """Build the application with the pages for scrapers."""
+    from .pages import pages_application
+
+    return pages_application(metrics)
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -12,7 +12,7 @@
     read_large_frame,
 )
 from ..peer.compression import compress, decompress
-from ..peer.gen.oleander_messages.ttypes import CopyReply, CopyRequest, ItemChange
+from ..peer.gen.oleander_gossip.ttypes import CopyReply, CopyRequest, ItemChange
 from .patches import PatchMaker, large_revisions, restore_items
 
 # A value of the store has up to 1 MiB; a copy also has the entries of all targets,
--- a/oleanderroute/host/crashes.py
+++ b/oleanderroute/host/crashes.py
@@ -9,7 +9,7 @@
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import ConnectFailed
 from ..ids import Fingerprint, TargetId, Workspace
-from ..peer.gen.oleander_messages.ttypes import CrashNotice
+from ..peer.gen.oleander_gossip.ttypes import CrashNotice
 
 NO_WORKSPACE = Workspace("")
 # A broken connection alone does not prove a crash: an answer may have been lost. A
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -12,7 +12,7 @@
 from ..decisions.link_budget import LinkBudget
 from ..errors import MessageRejected, PatchBaseMissing
 from ..peer.codec import decode_message, encode_message
-from ..peer.gen.oleander_messages.ttypes import Gossip, Observation
+from ..peer.gen.oleander_gossip.ttypes import Gossip, Observation
 from .membership import GossipMembership
 from .outbox import URGENT, Outbox, TrafficCount
 from .patches import PatchMaker, restore_items
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -21,7 +21,7 @@
 from ..platform import documents, headers, node_file
 from ..platform.kv import KvClient
 from ..tasks.base import supervise_work
-from .application import HostApplication, status_application
+from .application import HostApplication, StatusApplication
 from .copies import CopyServer
 from .crashes import CrashTracker
 from .findings import FindingReporter
@@ -132,7 +132,7 @@
             settings.caller_port,
             clock=self.clock,
         )
-        status = status_application(headers.READINESS_PATH, self.is_ready, self.metrics)
+        status = StatusApplication(headers.READINESS_PATH, self.is_ready, self.metrics)
         self.status_server = CallerServer(
             status, settings.address, settings.readiness_port
         )
--- a/oleanderroute/host/patches.py
+++ b/oleanderroute/host/patches.py
@@ -6,7 +6,7 @@
 
 from ..errors import PatchBaseMissing
 from ..peer.compression import compress, decompress
-from ..peer.gen.oleander_messages.ttypes import ItemChange, ItemPatch
+from ..peer.gen.oleander_gossip.ttypes import ItemChange, ItemPatch
 from .model import StoreItem
 
 # Smaller values are sent as they are.
--- a/oleanderroute/peer/client.py
+++ b/oleanderroute/peer/client.py
@@ -7,14 +7,8 @@
 from .. import events
 from ..errors import MessageRejected, PeerTimeout, PeerUnreachable
 from ..ids import FailureDomain, HostId
-from .codec import (
-    FRAME_LENGTH,
-    MAX_FRAME_BYTES,
-    check_header,
-    decode_reply,
-    encode_frame,
-    union_field,
-)
+from .codec import FRAME_LENGTH, MAX_FRAME_BYTES, encode_frame
+from .envelope import check_header, decode_reply, union_field
 from .gen.oleander_messages.ttypes import PeerRequest, RequestBody
 
 DEFAULT_TIMEOUT_S = 0.5
--- /dev/null
+++ b/oleanderroute/peer/gen/oleander_gossip/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/oleanderroute/peer/server.py
+++ b/oleanderroute/peer/server.py
@@ -6,13 +6,8 @@
 
 from .. import events
 from ..errors import MessageRejected
-from .codec import (
-    check_header,
-    decode_request,
-    encode_frame,
-    read_frame,
-    union_field,
-)
+from .codec import encode_frame, read_frame
+from .envelope import check_header, decode_request, union_field
 from .gen.oleander_messages.ttypes import PeerReply, ReplyBody
 
 # A peer that sends no request for this long is disconnected; it reconnects on
