Reject datagrams and findings whose fields are missing or out of range

Fields are checked before use, a finding that is out of range is left out and not forwarded, one number adds at most 5,000 sends, and rejections are counted and logged once a second.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -182,3 +182,14 @@
   # Guards against hosts that can't start from others when the configuration is large.
   Scenario: host decisions: A copy with the largest value goes from one host to another
     Then host decisions: a copy of a value of 1048576 bytes and 3000 others arrives whole
+
+  # Guards against a process that ends, hangs or estimates wrongly after one malformed
+  # datagram of another host.
+  Scenario Outline: host decisions: <damage> datagrams leave a host as it was
+    Then host decisions: 3000 <damage> datagrams leave estimates, counts and the store's state in range, seed <seed>
+
+    Examples:
+      | damage              | seed |
+      | cut and flipped     | 1    |
+      | extreme             | 2    |
+      | extreme and flipped | 3    |
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -13,7 +13,9 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from features.support.platform_fleet import ROUTES, configuration
 from features.support.processes import PORTS
+from features.support.thin_links import VirtualFleet
 from oleanderroute import events
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
@@ -43,6 +45,7 @@
 from oleanderroute.peer.gen.oleander_gossip.ttypes import (
     CrashNotice,
     Gossip,
+    ItemChange,
     Observation,
 )
 from oleanderroute.platform import documents, node_file
@@ -838,3 +841,87 @@
     assert task.link_wait_s() > 1.0
     task.hub_outbox.crashes.append(CrashNotice("", "f", ["t"]))
     assert task.link_wait_s() == 0.0
+
+
+# Malformed datagrams
+
+EXTREMES = (-(2**31), -1, 0, 1, 60_001, 2**31 - 1)
+INT16_MAX = 2**15 - 1
+
+
+def extreme_message(rng):
+    """Return a datagram whose fields have extreme values of their types."""
+    small = [-INT16_MAX, -1, 0, 1, INT16_MAX]
+    observations = []
+    for _ in range(rng.randrange(4)):
+        observations.append(
+            Observation(
+                target_id=rng.choice(["i-00000001", "i-00000002", "", "nobody"]),
+                kind=rng.choice([*range(13), -1, INT16_MAX]),
+                age_ms=rng.choice(EXTREMES),
+                latency_ms=rng.choice([None, *EXTREMES]),
+                in_system=rng.choice([None, *small]),
+                slots=rng.choice([None, *small]),
+                send_number=rng.choice(EXTREMES),
+                host_id=rng.choice([None, "", "edge-0-1"]),
+                incarnation=rng.choice([None, *small]),
+                count=rng.choice([None, *EXTREMES]),
+                target_started_ms=rng.choice([None, -1, 0, 2**62]),
+            )
+        )
+    return Gossip(
+        host_id=rng.choice(["edge-0-1", "edge-0-2", "", "nobody"]),
+        failure_domain=rng.choice(["zone-0", ""]),
+        to_hub=rng.random() < 0.5,
+        revision=rng.choice([-1, 0, 3]),
+        confirmed_ms=rng.choice([None, *EXTREMES]),
+        observations=observations or None,
+        crashes=[CrashNotice("", "f", ["i-00000001"], rng.choice(EXTREMES), None)],
+        changes_after=rng.choice([None, -1, 0, 3]),
+        changes=rng.choice([None, [ItemChange("servers/i-00000001", 9, b"\xff")]]),
+        heard=rng.choice([None, [""], ["nobody"]]),
+        store_lost=rng.choice([None, True, False]),
+        watcher=rng.choice([None, "", "nobody"]),
+    )
+
+
+def damaged_datagram(rng, damage):
+    data = bytearray(encode_message(extreme_message(rng)))
+    if "flipped" not in damage:
+        return bytes(data)
+    for _ in range(rng.randrange(1, 4)):
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    if rng.random() < 0.3:
+        del data[rng.randrange(len(data)) :]
+    return bytes(data)
+
+
+@then(
+    "host decisions: {count:d} {damage} datagrams leave estimates, counts and the "
+    "store's state in range, seed {seed:d}"
+)
+def step_malformed(context, count, damage, seed):
+    rng = random.Random(seed)
+    fleet = VirtualFleet([100.0] * 3, 1, configuration(1, list(ROUTES)), targets=3)
+    host = fleet.hosts["edge-0-0"]
+    host.gossip.crashes = SimpleNamespace(apply_notice=lambda notice: None)
+
+    async def scenario():
+        await asyncio.sleep(3.0)
+        before = host.view.replica.revision
+        for _ in range(count):
+            host.gossip.datagram_received(damaged_datagram(rng, damage), ("x", 1))
+        return before
+
+    before = fleet.run(scenario())
+    view = host.view
+    assert host.gossip.rejected > count // 10, host.gossip.rejected
+    assert set(view.targets) == {f"i-{n:08x}" for n in range(3)}, view.targets
+    for target in view.targets.values():
+        assert 0.0 < target.health.failure_probability(fleet.loop.now) < 1.0
+        assert 0.0 <= target.in_system(fleet.loop.now, 0.1) < 100_000
+    assert 0.0 <= view.latencies_of("pedidos").quantile(0.92) <= 60.0
+    assert view.replica.revision == before
+    assert view.replica.confirmed_at <= fleet.loop.now
+    allowance = view.allowance_of("pedidos")
+    assert allowance.remote_count() <= 5_000 * count
--- a/oleanderroute/decisions/send_counts.py
+++ b/oleanderroute/decisions/send_counts.py
@@ -5,6 +5,9 @@
 with the next one that arrives.
 """
 
+# Sends that one number may add: more than a process begins in the window of the limit.
+MAX_CATCH_UP = 5_000
+
 
 class Process:
     """Sends of one process of another host, as far as they were announced.
@@ -28,7 +31,7 @@
         if known is None:
             known = 0 if self.is_complete else number - 1
         self.numbers[kind] = max(known, number)
-        return max(0, number - known)
+        return min(MAX_CATCH_UP, max(0, number - known))
 
 
 class RemoteSendCounts:
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -438,7 +438,7 @@
     "gossip_rejected",
     "A datagram could not be decoded; it was dropped.",
     Level.WARNING,
-    ("source", "reason"),
+    ("source", "reason", "rejected"),
     "Find out which process sends to the gossip port.",
 )
 FINDING_UNKNOWN = define(
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -13,6 +13,7 @@
 from ..errors import MessageRejected, PatchBaseMissing
 from ..peer.codec import decode_message, encode_message
 from ..peer.gen.oleander_gossip.ttypes import Gossip, Observation
+from .gossip_checks import MAX_AGE_MS, check_gossip, check_observation
 from .membership import GossipMembership
 from .outbox import URGENT, Outbox, TrafficCount
 from .patches import PatchMaker, restore_items
@@ -30,9 +31,10 @@
 HUB_HEARTBEAT_INTERVAL_S = 0.1
 # Interval at which a hub sends the list of its live hosts.
 LIVE_LIST_INTERVAL_S = 0.25
+# Rejected datagrams arrive at any rate; their log lines do not.
+REJECTION_LOG_INTERVAL_S = 1.0
 # Larger datagrams may be fragmented or lost; larger changes are fetched by TCP.
 MAX_CHANGE_BYTES = 900
-MAX_AGE_MS = 60_000
 # The field of the message has 16 bits with a sign.
 MAX_INCARNATION = 2**15
 
@@ -73,6 +75,9 @@
         # When this host, as a hub, last forwarded findings to its domain.
         self.forwarded_at = float("-inf")
         self.live_list_sent_at = 0.0
+        # Datagrams and findings that were rejected since the start.
+        self.rejected = 0
+        self.rejection_logged_at = float("-inf")
         self.sent = TrafficCount()
         self.received = TrafficCount()
         # The size is bounded, as the field has 16 bits.
@@ -371,17 +376,15 @@
         self.received.add(1, len(data))
         try:
             message = decode_message(Gossip(), data)
+            check_gossip(message)
         except MessageRejected as error:
-            events.GOSSIP_REJECTED.log(source=address[0], reason=str(error))
+            self.reject(address[0], error)
             return
         if message.host_id == self.settings.host_id:
             return
         now = self.clock.now()
         self.membership.record_datagram(message, now)
-        for observation in message.observations or ():
-            if observation.host_id is None:
-                observation.host_id = message.host_id
-            self.apply_observation(observation, now)
+        self.apply_observations(message, now)
         for notice in message.crashes or ():
             self.crashes.apply_notice(notice)
         if message.to_hub:
@@ -407,6 +410,32 @@
             outbox.add(message.observations or (), message.crashes or ())
         self.schedule_forward(is_urgent)
 
+    def reject(self, source, error):
+        """Count what was rejected, and log at most one line in an interval."""
+        self.rejected += 1
+        now = self.clock.now()
+        if now - self.rejection_logged_at < REJECTION_LOG_INTERVAL_S:
+            return
+        self.rejection_logged_at = now
+        events.GOSSIP_REJECTED.log(
+            source=source, reason=str(error), rejected=self.rejected
+        )
+
+    def apply_observations(self, message, now):
+        """Apply the findings of a message and leave out those out of range."""
+        accepted = []
+        for observation in message.observations or ():
+            if observation.host_id is None:
+                observation.host_id = message.host_id
+            try:
+                check_observation(observation)
+            except MessageRejected as error:
+                self.reject(observation.host_id, error)
+                continue
+            accepted.append(observation)
+            self.apply_observation(observation, now)
+        message.observations = accepted
+
     def apply_observation(self, observation, now):
         """Apply a finding of another host."""
         own_id = self.settings.host_id
@@ -477,5 +506,5 @@
         except PatchBaseMissing as error:
             events.PATCH_NOT_APPLICABLE.log(source=message.host_id, reason=str(error))
         except MessageRejected as error:
-            events.GOSSIP_REJECTED.log(source=message.host_id, reason=str(error))
+            self.reject(message.host_id, error)
         return None
--- /dev/null
+++ b/oleanderroute/host/gossip_checks.py
@@ -0,0 +1,65 @@
+"""Checks of received datagrams that thrift does not make.
+
+Its decoder does not look for the required fields of nested structures, nor for ranges.
+"""
+
+from thrift.protocol.TProtocol import TProtocolException
+
+from ..errors import MessageRejected
+
+# Ages and latencies beyond this are not sent.
+MAX_AGE_MS = 60_000
+
+
+def check_gossip(message):
+    """Check the fields of a datagram other than its observations.
+
+    Raises
+    ------
+    MessageRejected
+    """
+    if not message.host_id:
+        raise MessageRejected("no host id")
+    check_range("revision", message.revision)
+    check_range("confirmed_ms", message.confirmed_ms, MAX_AGE_MS)
+    check_range("changes_after", message.changes_after, message.revision)
+    for change in (*(message.changes or ()), *(message.patches or ())):
+        check_required(change)
+        check_range("revision of a change", change.revision, message.revision)
+    for notice in message.crashes or ():
+        check_required(notice)
+        check_range("sent_ms", notice.sent_ms)
+        check_range("broke_ms", notice.broke_ms)
+
+
+def check_observation(observation):
+    """Check the fields of one observation.
+
+    Raises
+    ------
+    MessageRejected
+    """
+    check_required(observation)
+    check_range("age_ms", observation.age_ms, MAX_AGE_MS)
+    check_range("latency_ms", observation.latency_ms, MAX_AGE_MS)
+    check_range("in_system", observation.in_system)
+    check_range("slots", observation.slots)
+    check_range("send_number", observation.send_number)
+    check_range("incarnation", observation.incarnation)
+    check_range("count", observation.count)
+
+
+def check_required(structure):
+    """Reject a nested structure without one of its required fields."""
+    try:
+        structure.validate()
+    except TProtocolException as error:
+        raise MessageRejected(str(error)) from error
+
+
+def check_range(name, value, most=None):
+    """Reject a field that is set and below zero, or above ``most``."""
+    if value is None:
+        return
+    if value < 0 or (most is not None and value > most):
+        raise MessageRejected(f"{name}: {value}")
