Accept the queued connections before the listener closes

Reported by other operators: during a planned stop under load, requests that had just been accepted were cut off without an answer. Here: the kernel completes connections into the listener's queue, and closing the listener resets those that the process has not accepted yet. The balancer's notice makes this rare on the platform; callers that connect late, and a busy event loop, still met it. 'A stop answers requests on connections that were just accepted' got a reset for the first caller before; all 40 are answered now.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -238,6 +238,14 @@
     Then entry: the caller's connection ends with statuses "200 200"
     And entry: no request was cut and new connections are refused
 
+  # Guards against a stop under load that resets connections which the kernel has
+  # accepted and the process has not.
+  Scenario: entry: A stop answers requests on connections that were just accepted
+    Given entry: an entry before a target that answers "HTTP/1.1 200 OK~Content-Length: 2~~ok" and then stays open
+    When entry: the server stops at the moment at which 40 callers have connected and sent
+    Then entry: each of them got the status 200
+    And entry: no request was cut and new connections are refused
+
   Scenario: entry: Hop-by-hop and forged headers are not forwarded
     Given entry: an entry before a target that answers "HTTP/1.1 200 OK~Content-Length: 2~Connection: X-Hop~X-Hop: 1~Oleander-Outcome: not-run~Kept: 1~~ok" and then stays open
     When entry: a caller sends "GET / HTTP/1.1~Host: a~Connection: close, X-One~X-One: 1~TE: trailers~X-Entry-Host: me~X-Two: 2~~"
--- a/features/entry_fakes.py
+++ b/features/entry_fakes.py
@@ -140,7 +140,7 @@
         return await asyncio.open_connection("127.0.0.1", self.server.port)
 
     async def close(self):
-        self.server.stop_accepting()
+        await self.server.stop_accepting()
         await self.server.finish(0.0)
         self.pipeline.pool.close()
         await self.fake.close()
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -578,7 +578,7 @@
             writer.write(wire("GET / HTTP/1.1~Host: a~~"))
             await until(lambda n=number: len(context.fake.requests) == n)
             if number == 1:
-                server.stop_accepting()
+                await server.stop_accepting()
         stopping = asyncio.ensure_future(server.finish(TEST_TIMEOUT_S))
         await asyncio.sleep(0)
         context.go_on.set()
@@ -593,6 +593,39 @@
     run(context, scenario())
 
 
+@when(
+    "entry: the server stops at the moment at which {count:d} callers have connected "
+    "and sent"
+)
+def step_stops_at_accept(context, count):
+    async def scenario():
+        server = context.entry.server
+        sockets = []
+        for _ in range(count):
+            # Without a pass of the event loop, which would accept the connection.
+            sock = socket.create_connection(("127.0.0.1", server.port))
+            sock.sendall(wire("GET / HTTP/1.1~Host: a~~"))
+            sock.setblocking(False)
+            sockets.append(sock)
+        await server.stop_accepting()
+        stopping = asyncio.ensure_future(server.finish(TEST_TIMEOUT_S))
+        context.answers = []
+        for sock in sockets:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            context.answers.append(await read_to_end(reader))
+            writer.close()
+        context.cut = await stopping
+
+    run(context, scenario())
+
+
+@then("entry: each of them got the status 200")
+def step_all_served(context):
+    for received, end in context.answers:
+        assert received.startswith(b"HTTP/1.1 200 "), (received, end)
+        assert b"connection: close" in received, received
+
+
 @then('entry: the caller\'s connection ends with statuses "{statuses}"')
 @then('entry: the last caller\'s connection ends with statuses "{statuses}"')
 @then('entry: the caller\'s connection ends with statuses ""')
--- a/oleanderroute/daemon.py
+++ b/oleanderroute/daemon.py
@@ -195,7 +195,7 @@
         drain = self.settings.drain
         self.caller_server.begin_draining()
         await asyncio.sleep(drain.notice_s)
-        self.caller_server.stop_accepting()
+        await self.caller_server.stop_accepting()
         await self.caller_server.finish(drain.limit_s)
         await self.pipeline.close()
         await self.claims.hand_over(self.claim_table.export(self.clock.now()))
--- a/oleanderroute/entry/server.py
+++ b/oleanderroute/entry/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import select
 import socket
 
 import uvicorn
@@ -15,6 +16,8 @@
 BACKLOG = 1024
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
+# Callers that go on connecting must not hold up a stop.
+MAX_ACCEPT_S = 0.2
 # Time for cancelled requests to release their resources.
 CANCEL_TIMEOUT_S = 1.0
 # Idle connections stay open for this time after the listener is closed, because a
@@ -121,11 +124,28 @@
             if connection.cycle is not None:
                 connection.cycle.keep_alive = False
 
-    def stop_accepting(self):
-        """Close the listener; requests in flight continue."""
+    async def stop_accepting(self):
+        """Close the listener; requests in flight continue.
+
+        The kernel resets the connections that still wait in the listener's queue when
+        it closes, so they are accepted first.
+        """
         self.begin_draining()
+        await self.accept_queued()
         for server in self.server.servers:
             server.close()
+        # The transports of the last connections are set up in passes of the event loop.
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    async def accept_queued(self):
+        """Wait until the event loop has accepted all queued connections."""
+        queue = select.poll()
+        for server in self.server.servers:
+            for sock in server.sockets:
+                queue.register(sock.fileno(), select.POLLIN)
+        ends_at = self.clock.now() + MAX_ACCEPT_S
+        while queue.poll(0) and self.clock.now() < ends_at:
+            await asyncio.sleep(0)
 
     async def finish(self, limit_s):
         """Wait for the requests in flight, then close all connections.
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -242,7 +242,7 @@
         self.caller_server.begin_draining()
         deregistration = asyncio.ensure_future(self.follower.deregister())
         await asyncio.sleep(BALANCER_DRAIN_S)
-        self.caller_server.stop_accepting()
+        await self.caller_server.stop_accepting()
         passed_s = self.clock.now() - started_at
         await self.caller_server.finish(
             max(0.1, self.settings.stop_grace_s - STOP_MARGIN_S - passed_s)
