Test that running orders go on while their targets' entries or the store are gone

Reported by other operators: a machine that was only silent for a while had its running work started again elsewhere, or given up.

--- a/features/host.feature
+++ b/features/host.feature
@@ -86,6 +86,18 @@
     When host: an order hangs while the host is stopped
     Then host: the host is not ready and the order is answered before the host ends
 
+  # Guards against running work that is given up, or started again elsewhere, because its
+  # target was silent towards the store.
+  Scenario Outline: host: Orders go on while <what>
+    Given host: 2 hosts, targets t1 and t2
+    When host: 6 slow orders run and <what>
+    Then host: each of them is answered 200 after one run
+
+    Examples:
+      | what                                     |
+      | the entries of their targets are removed |
+      | the store is silent                      |
+
   # Guards against entries of other writers that hold up the readable ones.
   Scenario: host: Unreadable entries name no target
     Given host: 1 host, targets t1 and t2
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -304,6 +304,38 @@
     assert context.fleet.hosts["h1"].wait_end(6.0) == 0
 
 
+@when("host: {count:d} slow orders run and {what}")
+def step_slow_orders(context, count, what):
+    fleet = context.fleet
+    for target_id in ("t1", "t2"):
+        fleet.set_mode(target_id, "slow")
+    context.answers = []
+
+    def order(number):
+        name = ("h1", "h2")[number % 2]
+        answer = fleet.send(name, "POST", "/order/1", f"slow{number}", body=b"x")
+        context.answers.append(answer)
+
+    threads = [threading.Thread(target=order, args=(n,)) for n in range(count)]
+    for thread in threads:
+        thread.start()
+    fleet.wait_until(lambda: len(fleet.runs()) >= 2, "orders run")
+    if what == "the store is silent":
+        fleet.store_fault(mode="silent")
+    else:
+        for target_id in ("t1", "t2"):
+            fleet.remove(f"servers/{target_id}")
+    for thread in threads:
+        thread.join()
+
+
+@then("host: each of them is answered 200 after one run")
+def step_slow_answered(context):
+    assert {answer[0] for answer in context.answers} == {200}, context.answers
+    runs = Counter(run[0] for run in context.fleet.runs())
+    assert set(runs.values()) == {1}, runs
+
+
 @when("host: strange entries are written")
 def step_strange(context):
     for key, document in MALFORMED_ENTRIES.items():
