--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -48,6 +48,8 @@
 # Part of the grace period that is reserved for the exit of the process.
 STOP_MARGIN_S = 0.4
 HOUSEKEEPING_INTERVAL_S = 0.2
+# The deadline of each request has a timer of its own.
+SWEEP_INTERVAL_S = 0.25
 RESTART_DELAY_S = 0.5
 
 
@@ -76,6 +78,7 @@
             self.clock,
             CONNECT_TIMEOUT_S,
             headers.PlatformDialect(),
+            SWEEP_INTERVAL_S,
         )
         self.view = FleetView(settings, documents, self.clock, self.pool)
         self.view.on_configuration.append(self.configuration_changed)
