Keep the floor of targets in use while requests of a service fail

Cause: only requests that may be repeated explore; a service whose requests all run once never returns to a target after one failure, until the others queue.

--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -12,6 +12,7 @@
 from features.steps.host_decisions_steps import entry
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
+from oleanderroute.decisions.floor import ServiceFloor
 from oleanderroute.decisions.health import TargetHealth
 from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.selection import Selector, TargetView
@@ -116,12 +117,14 @@
         views.append(TargetView(entry(f"t{number}"), TargetHealth(now)))
     latencies = LatencySample()
     queue = StandingQueue()
+    floor = ServiceFloor(0.7, random.Random(1))
     # Its uptime is long enough for the whole fixed allowance.
     allowance = RepeatAllowance(0.2, 100.0, 10.0, now - 100.0)
     view = SimpleNamespace(
         usable_targets=lambda service: views,
         latencies_of=lambda service: latencies,
         queue_of=lambda service: queue,
+        floor_of=lambda service: floor,
         allowance_of=lambda service: allowance,
         host_count=1,
     )
--- a/oleanderroute/decisions/health.py
+++ b/oleanderroute/decisions/health.py
@@ -57,6 +57,9 @@
 
 
 START_FINDINGS = frozenset({Finding.SENT, Finding.RESENT})
+# Findings that show whether a request was served.
+SERVED_FINDINGS = frozenset({Finding.GOOD, Finding.LATE})
+UNSERVED_FINDINGS = frozenset({Finding.FAILED, Finding.ERROR, Finding.LONG_OVERDUE})
 # Findings that do not end a send.
 INTERIM_FINDINGS = START_FINDINGS | {
     Finding.OVERDUE,
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -1,8 +1,18 @@
 """State of one host: the configuration, targets, hosts and target health."""
 
+import random
+
 from .. import events
 from ..decisions.allowance import RepeatAllowance
-from ..decisions.health import INTERIM_FINDINGS, START_FINDINGS, Finding, TargetHealth
+from ..decisions.floor import ServiceFloor
+from ..decisions.health import (
+    INTERIM_FINDINGS,
+    SERVED_FINDINGS,
+    START_FINDINGS,
+    UNSERVED_FINDINGS,
+    Finding,
+    TargetHealth,
+)
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
 from ..decisions.restrictions import TargetRestrictions
@@ -56,6 +66,7 @@
         self.latencies = {}
         self.queues = {}
         self.allowances = {}
+        self.floors = {}
         self.remote_counts = RemoteSendCounts()
         self.restrictions = TargetRestrictions()
         # Crossings of a gray probability of 0.5 since the start.
@@ -70,6 +81,8 @@
     def update_settings(self, settings):
         """Apply changed settings."""
         self.settings = settings
+        for floor in self.floors.values():
+            floor.floor_share = settings.floor_share
         for allowance in self.allowances.values():
             allowance.configure(
                 settings.retry_ratio,
@@ -326,6 +339,16 @@
             )
         return allowance
 
+    def floor_of(self, service):
+        """Return the ``ServiceFloor`` of a service."""
+        floor = self.floors.get(service)
+        if floor is None:
+            floor = self.floors[service] = ServiceFloor(
+                self.settings.floor_share,
+                random.Random(f"{self.settings.host_id}/{service}"),
+            )
+        return floor
+
     # Findings
 
     def observe(
@@ -364,6 +387,10 @@
             view.reported_at = now
         if latency_s is not None:
             self.latencies_of(view.entry.service).add(latency_s)
+        if finding in SERVED_FINDINGS:
+            self.floor_of(view.entry.service).record(False, now)
+        elif finding in UNSERVED_FINDINGS:
+            self.floor_of(view.entry.service).record(True, now)
         self.record_belief_change(target_id, before, view.health, finding, is_own)
 
     def record_leaving(self, target_id, started_ms, source):
--- a/oleanderroute/host/forwarder.py
+++ b/oleanderroute/host/forwarder.py
@@ -200,16 +200,22 @@
         return self.choose_best(exchange)
 
     def choose_best(self, exchange):
-        """Choose the target with the least expected loss."""
+        """Choose the target with the least expected loss, or one for the floor."""
+        candidates = self.candidates(exchange)
+        now = self.clock.now()
+        if not exchange.sends:
+            target = self.view.floor_of(exchange.service).choose(candidates, now)
+            if target is not None:
+                return target
         return self.selector.best(
-            self.candidates(exchange),
+            candidates,
             self.view.latencies_of(exchange.service),
             RequestProfile(
                 exchange.route.objective_s,
                 len(exchange.body_prefix.content) / BYTES_PER_MB,
                 self.pool.has_idle,
             ),
-            self.clock.now(),
+            now,
         )
 
     def may_repeat(self, exchange, is_hedge=False):
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -149,6 +149,8 @@
         length: this share of its requests plus the allowance.
     stop_grace_s : float
         Time from the stop signal until the process is killed.
+    floor_share : float
+        Share of a service's targets that stays in use while its requests fail.
     link_mbps : float
         Bandwidth of the link of this host in Mbit/s; 0 if it is not known.
     """
@@ -169,6 +171,7 @@
     retry_window_s: float
     stop_grace_s: float
     link_mbps: float = 0.0
+    floor_share: float = 0.7
 
 
 @dataclass(slots=True)
--- a/oleanderroute/platform/node_file.py
+++ b/oleanderroute/platform/node_file.py
@@ -72,6 +72,7 @@
         retry_allowance=bounds.get("retrySlack", 0.0),
         retry_window_s=bounds.get("budgetWindowS", 10.0),
         stop_grace_s=bounds.get("graceS", 6.0),
+        floor_share=bounds.get("floorShare", 0.7),
         link_mbps=parse_number(fields.get(LINK_FIELD) or "0", LINK_FIELD),
     )
 
