Write at most 20 log lines about targets for one update of the store

The rest of an update is counted in a line of its own (652). Requests are still explained by their own line, which names the targets of their sends. Test: 'A listing of many targets takes few log lines'; small updates keep a line for each target.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -193,3 +193,7 @@
       | cut and flipped     | 1    |
       | extreme             | 2    |
       | extreme and flipped | 3    |
+
+  # Guards against a line for each target at each start of each host.
+  Scenario: host decisions: A listing of many targets takes few log lines
+    Then host decisions: 400 targets that are listed and removed at once take at most 50 log lines, and 3 take 6
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -13,11 +13,12 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from features.support.fleet_views import make_view
 from features.support.platform_fleet import ROUTES, configuration
 from features.support.processes import PORTS
-from features.support.thin_links import VirtualFleet
+from features.support.thin_links import VirtualFleet, target_entry
 from oleanderroute import events
-from oleanderroute.clock import SystemClock
+from oleanderroute.clock import ManualClock, SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
 from oleanderroute.decisions.health import Finding, TargetHealth
 from oleanderroute.decisions.hubs import HubChoice, appoint_watcher
@@ -926,3 +927,29 @@
     assert view.replica.confirmed_at <= fleet.loop.now
     allowance = view.allowance_of("pedidos")
     assert allowance.remote_count() <= 5_000 * count
+
+
+@then(
+    "host decisions: {many:d} targets that are listed and removed at once take at most "
+    "{most:d} log lines, and {few:d} take {lines:d}"
+)
+def step_listing_lines(context, many, most, few, lines):
+    def count_lines(count):
+        written = []
+        view = make_view(ManualClock(100.0))
+        items = []
+        for number in range(count):
+            key = f"{documents.TARGET_PREFIX}t{number}"
+            items.append(StoreItem(key, number + 1, target_entry(number)))
+        add_destinations(written.append)
+        try:
+            view.apply_listing(documents.TARGET_PREFIX, items, count)
+            assert len(view.targets) == count
+            view.apply_listing(documents.TARGET_PREFIX, [], count + 1)
+            assert not view.targets
+        finally:
+            remove_destination(written.append)
+        return len(written)
+
+    assert count_lines(few) == lines
+    assert few < count_lines(many) <= most, count_lines(many)
--- a/features/steps/restrictions_steps.py
+++ b/features/steps/restrictions_steps.py
@@ -8,14 +8,14 @@
 from behave import then
 
 from features.steps.host_sends_steps import NO_CRASHES, make_exchange
+from features.support.fleet_views import make_view
 from oleanderroute.clock import ManualClock, SystemClock
 from oleanderroute.decisions.restrictions import parse_pause_s
 from oleanderroute.decisions.selection import Selector
 from oleanderroute.entry.messages import TargetAnswer
 from oleanderroute.host.findings import FindingReporter
-from oleanderroute.host.fleetview import FleetView
 from oleanderroute.host.forwarder import RequestForwarder
-from oleanderroute.host.model import HostSettings, StoreItem
+from oleanderroute.host.model import StoreItem
 from oleanderroute.host.target_sender import TargetSender
 from oleanderroute.platform import documents
 
@@ -29,31 +29,6 @@
     assert parse_pause_s(hint.encode()) == expected, parse_pause_s(hint.encode())
 
 
-def make_view(clock):
-    settings = HostSettings(
-        host_id="h1",
-        address="127.0.0.1",
-        failure_domain="mvd-a",
-        region="montevideo",
-        caller_port=1,
-        readiness_port=2,
-        control_port=3,
-        gossip_port=4,
-        seeds=(),
-        store_address="127.0.0.1:5",
-        min_lease_s=1.0,
-        retry_ratio=0.2,
-        retry_allowance=100.0,
-        retry_window_s=10.0,
-        stop_grace_s=6.0,
-    )
-    pool = SimpleNamespace(
-        set_connection_limit=lambda target_id, limit: None,
-        close_target=lambda target_id: None,
-    )
-    return FleetView(settings, documents, clock, pool)
-
-
 class Registry:
     """Writes registrations of targets into the view of a host."""
 
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -605,6 +605,13 @@
     ("target", "request", "hint"),
     "Correct the Retry-After header of the target.",
 )
+TARGET_CHANGES_LEFT_OUT = define(
+    652,
+    "target_changes_left_out",
+    "An update of the store changed more targets than have lines of their own.",
+    Level.INFO,
+    ("left_out",),
+)
 REQUEST_FINISHED = define(
     660,
     "request_finished",
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -30,6 +30,29 @@
 TARGET_RETURN_TIMEOUT_S = 2.2
 # A host whose key was removed stays in use if it was last seen within this time.
 LAPSED_HOST_TIMEOUT_S = 3.0
+# Log lines about targets for the changes of the store that arrive together.
+MAX_CHANGE_LINES = 20
+
+
+class ChangeLog:
+    """Limits the log lines about targets for the changes of one update.
+
+    A host that starts learns of all targets at once.
+    """
+
+    def __init__(self):
+        self.lines = 0
+
+    def may_log(self):
+        """Tell whether the update may have another line; count it if not."""
+        self.lines += 1
+        return self.lines <= MAX_CHANGE_LINES
+
+    def finish(self):
+        """End an update; tell how many lines were left out."""
+        if self.lines > MAX_CHANGE_LINES:
+            events.TARGET_CHANGES_LEFT_OUT.log(left_out=self.lines - MAX_CHANGE_LINES)
+        self.lines = 0
 
 
 class FleetView:
@@ -69,6 +92,7 @@
         self.floors = {}
         self.remote_counts = RemoteSendCounts()
         self.restrictions = TargetRestrictions()
+        self.change_log = ChangeLog()
         # Crossings of a gray probability of 0.5 since the start.
         self.belief_changes = 0
         self.started_at = clock.now()
@@ -99,6 +123,7 @@
             if self.replica.apply(item):
                 self.item_changed(item)
                 news.append(item)
+        self.change_log.finish()
         return news
 
     def apply_listing(self, prefix, items, revision):
@@ -106,6 +131,7 @@
         changes = self.replica.replace(prefix, items, revision)
         for item in changes:
             self.item_changed(item)
+        self.change_log.finish()
         return changes
 
     def record_confirmation(self, at):
@@ -165,7 +191,8 @@
         try:
             entry = formats.decode_target(item.key, item.value)
         except DocumentError as error:
-            events.TARGET_ENTRY_REFUSED.log(target=target_id, reason=str(error))
+            if self.change_log.may_log():
+                events.TARGET_ENTRY_REFUSED.log(target=target_id, reason=str(error))
             self.forget_target(target_id)
             return
         self.awaiting_return.pop(target_id, None)
@@ -174,11 +201,13 @@
             self.forget_target(target_id)
             view = TargetView(entry, TargetHealth(now))
             self.targets[target_id] = view
-            events.TARGET_ADDED.log(target=target_id, service=entry.service)
+            if self.change_log.may_log():
+                events.TARGET_ADDED.log(target=target_id, service=entry.service)
         elif view.entry.service != entry.service:
             self.services[view.entry.service].pop(target_id, None)
         if entry.is_leaving and not view.entry.is_leaving:
-            events.TARGET_LEAVING.log(target=target_id, revision=item.revision)
+            if self.change_log.may_log():
+                events.TARGET_LEAVING.log(target=target_id, revision=item.revision)
         view.entry = entry
         view.cold_until = now + entry.cold_s if entry.cold_s else 0.0
         self.services.setdefault(entry.service, {})[target_id] = view
@@ -200,11 +229,13 @@
         for target_id, return_by in list(self.awaiting_return.items()):
             if now >= return_by:
                 self.remove_target(target_id)
+        self.change_log.finish()
 
     def remove_target(self, target_id):
         """Log the removal of a known target and remove its state."""
         service = self.targets[target_id].entry.service
-        events.TARGET_GONE.log(target=target_id, service=service)
+        if self.change_log.may_log():
+            events.TARGET_GONE.log(target=target_id, service=service)
         self.forget_target(target_id)
 
     def forget_target(self, target_id):
