Close the ports for readiness and metrics before the event loop

Traced: the callers' port was closed by then, but the port for readiness still accepted while asyncio ended its tasks. A question that was read there got no answer. 'A stop leaves no request of the readiness port unanswered' reproduced it at once (error output of the host); both ports are now closed like the callers' one. A host whose port for metrics is taken stops in order, which the same scenario as before now checks.

--- a/features/host.feature
+++ b/features/host.feature
@@ -116,6 +116,7 @@
     Given host: 1 host, targets t1 and t2
     When host: a second host starts on the address of the first
     Then host: both serve requests and the second logs the taken port
+    And host: both end in order when they are stopped
 
   # Guards against work that goes on at a target after its caller has left (GONE).
   Scenario Outline: host: A caller that leaves cancels its request
@@ -180,3 +181,9 @@
       | endless-close     | POST   | /order/1 | 1    |
       | endless-trailer   | POST   | /order/1 | 1    |
       | endless-extension | POST   | /order/1 | 1    |
+
+  # Guards against requests that are read while the process ends and never answered.
+  Scenario: host: A stop leaves no request of the readiness port unanswered
+    Given host: 1 host, targets t1 and t2
+    When host: the host is stopped while its readiness is asked all the time
+    Then host: each question that was read was answered, and the host ended without warnings
--- a/features/steps/host_steps.py
+++ b/features/steps/host_steps.py
@@ -304,6 +304,31 @@
     assert context.fleet.hosts["h1"].wait_end(6.0) == 0
 
 
+@when("host: the host is stopped while its readiness is asked all the time")
+def step_stop_asked(context):
+    process = context.fleet.hosts["h1"]
+    context.unanswered = 0
+    process.terminate()
+    while process.is_running():
+        try:
+            answer = context.fleet.ask(
+                process.address, process.ready_port, "GET", "/readiness"
+            )
+        except ConnectionError:
+            continue
+        context.unanswered += answer[0] is None
+
+
+@then(
+    "host: each question that was read was answered, and the host ended without "
+    "warnings"
+)
+def step_ended_quietly(context):
+    assert context.unanswered == 0, context.unanswered
+    errors = context.fleet.hosts["h1"].error_path.read_text()
+    assert errors == "", errors
+
+
 @when("host: {count:d} slow orders run and {what}")
 def step_slow_orders(context, count, what):
     fleet = context.fleet
@@ -389,6 +414,15 @@
     assert len(context.fleet.log("h2", 602)) == 1
 
 
+@then("host: both end in order when they are stopped")
+def step_both_end(context):
+    for name in ("h1", "h2"):
+        process = context.fleet.hosts[name]
+        process.terminate()
+        assert process.wait_end(6.0) == 0, name
+        assert process.error_path.read_text() == "", name
+
+
 @when('host: a caller of "{method}" "{path}" leaves while its request hangs')
 def step_leave_early(context, method, path):
     fleet = context.fleet
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -47,6 +47,8 @@
 BALANCER_DRAIN_S = 2.6
 # Part of the grace period that is reserved for the exit of the process.
 STOP_MARGIN_S = 0.4
+# Time for questions on the status ports that were read before the end.
+STATUS_CLOSE_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.2
 # The deadline of each request has a timer of its own.
 SWEEP_INTERVAL_S = 0.25
@@ -140,6 +142,8 @@
             status, settings.address, settings.readiness_port
         )
         self.metrics_server = CallerServer(status, settings.address, METRICS_PORT)
+        # Those that listen; another process may have the port for metrics.
+        self.status_servers = [self.status_server]
 
     def is_ready(self):
         """Tell whether the host accepts new connections."""
@@ -197,6 +201,8 @@
             await self.metrics_server.start()
         except OSError as error:
             events.METRICS_PORT_TAKEN.log(port=METRICS_PORT, reason=str(error))
+            return
+        self.status_servers.append(self.metrics_server)
 
     def watch_signals(self):
         """Stop on SIGTERM and SIGINT, reload the settings on SIGHUP."""
@@ -251,6 +257,17 @@
             max(0.1, self.settings.stop_grace_s - STOP_MARGIN_S - passed_s)
         )
         deregistration.cancel()
+        await self.close_status_ports()
+
+    async def close_status_ports(self):
+        """Answer what was asked on the ports for readiness and metrics, and close them.
+
+        Otherwise the event loop would still accept connections while it is closed.
+        """
+        for server in self.status_servers:
+            await server.stop_accepting()
+        for server in self.status_servers:
+            await server.finish(STATUS_CLOSE_S)
 
 
 def file_signature(path):
