Test of the queued connections: let the target take all requests at once

Traced: the fixture's pool opens 8 connections to its target and has no queue, so more than 8 requests at the target at once end with ConnectionLimitReached. The test now always has all 40 requests in flight; its check is as it was. The product is not changed.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -241,7 +241,7 @@
   # Guards against a stop under load that resets connections which the kernel has
   # accepted and the process has not.
   Scenario: entry: A stop answers requests on connections that were just accepted
-    Given entry: an entry before a target that answers "HTTP/1.1 200 OK~Content-Length: 2~~ok" and then stays open
+    Given entry: an entry before a target that answers each request after 0.05 s
     When entry: the server stops at the moment at which 40 callers have connected and sent
     Then entry: each of them got the status 200
     And entry: no request was cut and new connections are refused
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -593,6 +593,15 @@
     run(context, scenario())
 
 
+@given("entry: an entry before a target that answers each request after {wait_s:g} s")
+def step_slow_entry(context, wait_s):
+    async def script(request, writer):
+        await asyncio.sleep(wait_s)
+        writer.write(OK)
+
+    start_entry(context, script)
+
+
 @when(
     "entry: the server stops at the moment at which {count:d} callers have connected "
     "and sent"
@@ -600,6 +609,8 @@
 def step_stops_at_accept(context, count):
     async def scenario():
         server = context.entry.server
+        # All requests are at the target at the same time.
+        context.entry.pipeline.pool.set_connection_limit("t1", count)
         sockets = []
         for _ in range(count):
             # Without a pass of the event loop, which would accept the connection.
