--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,20 +19,19 @@
 # stabilityWindowMs and configApplyMs of the settings.
 STABILITY_S = 3.0
 APPLY_S = 2.0
-CHECK_FOR_S = 12.0
+CHECK_FOR_S = 8.0
+ROUNDS = 3
 
 
-def routes(moved):
-    """Return the routes; the second version moves one and adds one."""
-    found = [
+def routes(version):
+    """Return the routes of a version: each one moves a route and renames another."""
+    return [
         route("r-look", "safe", "/look/", "alpha"),
         route("r-order", "unsafe", "/order/", "alpha"),
         route("r-art", "upload", "/art/", "beta", timeoutMs=2000),
-        route("r-stock", "safe", "/stock/", "beta" if moved else "alpha"),
+        route("r-stock", "safe", "/stock/", SERVICES[version % 2]),
+        route(f"r-new-{version}", "safe", f"/new-{version}/", "beta"),
     ]
-    if moved:
-        found.append(route("r-new", "safe", "/new/", "beta"))
-    return found
 
 
 class Link:
@@ -61,7 +60,7 @@
 async def play(fleet, has_trouble):
     """Play the case; return the reasons why the rule was broken."""
     store = fleet.store
-    store.put("op/config", configuration(1, routes(False), SERVICES))
+    store.put("op/config", configuration(1, routes(1), SERVICES))
     for number in range(6):
         service = SERVICES[number % 2]
         zone = "mvd-a" if number < 3 else "mvd-b"
@@ -76,37 +75,49 @@
     zone_b = [host for host in fleet.hosts if host.zone == "mvd-b"]
     link = Link({host.store_address for host in zone_b})
     store.delay_call = link.delay_call
-    if has_trouble:
-        link.is_armed = True
-        try:
-            await asyncio.wait_for(link.lost.wait(), 10.0)
-        except TimeoutError as error:
-            raise CannotRun("no host of the zone watches the store") from error
-        fleet.record.add("packet-lost", between="mvd-b and the store")
-    await asyncio.sleep(CHANGE_AFTER_S)
-    revision = store.put("op/config", configuration(2, routes(True), SERVICES))
-    acknowledged_at = time.monotonic()
-    fleet.record.add("acknowledged", version=2, revision=revision)
-    await asyncio.sleep(BEAT_AFTER_S - CHANGE_AFTER_S)
-    revision = backend.register(cold_ms=1500)
-    fleet.record.add("beat", backend=backend.backend_id, revision=revision)
-    await asyncio.sleep(max(STABILITY_S, APPLY_S) + 1.0)
-    return await check(fleet, acknowledged_at)
-
-
-async def check(fleet, acknowledged_at):
-    """Ask all hosts for what only the newer version allows."""
+    broken = []
+    for version in range(2, 2 + ROUNDS):
+        if has_trouble:
+            await lose_packet(fleet, link)
+        await asyncio.sleep(CHANGE_AFTER_S)
+        document = configuration(version, routes(version), SERVICES)
+        revision = store.put("op/config", document)
+        acknowledged_at = time.monotonic()
+        fleet.record.add("acknowledged", version=version, revision=revision)
+        await asyncio.sleep(BEAT_AFTER_S - CHANGE_AFTER_S)
+        revision = backend.register(cold_ms=1500 * (version % 2))
+        fleet.record.add("beat", backend=backend.backend_id, revision=revision)
+        await asyncio.sleep(max(STABILITY_S, APPLY_S) + 1.0)
+        broken += await check(fleet, version, acknowledged_at)
+    return broken
+
+
+async def lose_packet(fleet, link):
+    """Wait until a watch call of the zone has lost a packet."""
+    link.lost.clear()
+    link.is_armed = True
+    try:
+        await asyncio.wait_for(link.lost.wait(), 10.0)
+    except TimeoutError as error:
+        raise CannotRun("no host of the zone watches the store") from error
+    fleet.record.add("packet-lost", between="mvd-b and the store")
+
+
+async def check(fleet, version, acknowledged_at):
+    """Ask all hosts for what only the newest version allows."""
     broken = []
     ends_at = time.monotonic() + CHECK_FOR_S
     while time.monotonic() < ends_at:
         for host in fleet.hosts:
             passed_s = time.monotonic() - acknowledged_at
-            status, _, content = await host.send("GET", "/new/1")
+            told = f"version {version}, {passed_s:.1f} s: {host.name}"
+            status, _, _ = await host.send("GET", f"/new-{version}/1")
             if status == 404:
-                broken.append(f"{passed_s:.1f} s: {host.name} has no route /new/")
+                broken.append(f"{told} has no route /new-{version}/")
             status, _, content = await host.send("GET", "/stock/1")
-            if status == 200 and content.startswith(b"alpha"):
-                broken.append(f"{passed_s:.1f} s: {host.name} sent /stock/ to alpha")
+            service = content.split(b" ")[0].decode()
+            if status == 200 and service != SERVICES[version % 2]:
+                broken.append(f"{told} sent /stock/ to {service}")
         await asyncio.sleep(1.0)
     return broken
 
