--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -303,11 +303,14 @@
         return CANNOT_RUN
     store = Store()
     fleet = Fleet(folder, store)
+    # The processes that were started end also if the case itself is stopped.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         await store.start([fleet.address(200 + n) for n in range(MAX_HOSTS)])
         async with asyncio.timeout(limit_s):
             broken = await play(fleet, os.environ.get("TROUBLE", "1") != "0")
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"cannot run: {error!r}")
         fleet.record.add("cannot-run", error=repr(error))
         return CANNOT_RUN
