--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,8 +8,8 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from support.backend import Backend  # noqa: E402
-from support.fleet import CannotRun, configuration, route, run_case  # noqa: E402
+from case_fleet import CannotRun, configuration, route, run_case  # noqa: E402
+from standin_backend import Backend  # noqa: E402
 
 SERVICES = ("alpha", "beta")
 # A lost packet of a TCP connection is sent again after this time at the least.
--- a/review/support/fleet.py
+++ b/review/case_fleet.py
@@ -12,10 +12,10 @@
 import tomllib
 from pathlib import Path
 
-from .backend import new_id
-from .http import ask
+from standin_backend import new_id
+from standin_http import ask
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPENDENCIES = ROOT / "target" / "deps"
 ROLE = "entry-host"
 CLIENT_HOST = "shop.example"
@@ -296,7 +296,7 @@
 
 async def play_case(folder, play, limit_s):
     """Play a case inside an event loop."""
-    from .store import Store
+    from standin_store import Store
 
     if not DEPENDENCIES.is_dir():
         print("cannot run: the build of the deploy file is missing")
--- a/review/support/run.sh
+++ b/review/run_case.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs the case in the folder that is given.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
+cd "$(dirname "$0")/.." || exit 2
 python3 "review/$1/case.py" &
 case_pid=$!
 trap 'kill "$case_pid"' TERM INT
--- a/review/support/backend.py
+++ b/review/standin_backend.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 
-from .http import encode, read_message
+from standin_http import encode, read_message
 
 SLOTS = 4
 SEAL = "seal-of-the-stand-in"
--- a/review/support/late.py
+++ b/review/standin_late.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 
-from .backend import SEAL, Backend
-from .http import encode
+from standin_backend import SEAL, Backend
+from standin_http import encode
 
 # One of so many answers of a faulty backend is followed by bytes of a second one.
 EXTRA_INTERVAL = 34
--- a/review/support/store.py
+++ b/review/standin_store.py
@@ -6,7 +6,7 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
-from .http import encode, read_message
+from standin_http import encode, read_message
 
 PAGE_ITEMS = 500
 # Time of an answer of a healthy store.
--- a/review/support/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers that the cases share."""
