Announce all changes that a host knows, not those that were new to it

What callers saw: one host of a failure domain kept the older configuration until the next one was written, 12 s and more after its acknowledgement.

Cause: a watcher and a relaying hub announced "changes after revision A up to R" but sent only the items that were new to themselves. What had reached them from another host during the call, or a large value that they knew already, was left out. A receiver at A took the message for complete, advanced past the change and never asked for it. The same held for a target's leaving, a removal and a host's entry. A listing was announced as changes too, although the host that listed can't know of keys that came and went since its revision.

Fix: announce_changes takes the changes from the whole replica, with changes_after, as copies did already. If they may be incomplete, as after a listing, only the revision is sent and the others fetch a copy. The replica keeps its changes in the order of revisions, so that an announcement costs what has changed and not a scan of all targets. The module's docstring says what a receiver may conclude from which message.

--- /dev/null
+++ b/features/steps/store_changes_steps.py
@@ -0,0 +1,204 @@
+import asyncio
+
+import orjson
+from behave import given, then, when
+
+from features.support.platform_fleet import ROUTES, configuration, route
+from features.support.thin_links import CURRENT_HOST, Link, VirtualFleet, target_entry
+from oleanderroute.errors import HistoryLost
+from oleanderroute.host.model import ItemPage
+from oleanderroute.host.outbox import Outbox
+from oleanderroute.platform import documents
+
+# Longer than it takes a host to find that it is behind and to fetch what it lacks.
+SETTLE_S = 1.0
+LEAVING_ENTRY = target_entry(1, state="draining")
+OTHER_HOST = orjson.dumps(
+    {
+        "address": "10.0.0.77",
+        "control_port": 8166,
+        "gossip_port": 7720,
+        "failure_domain": "d0",
+    }
+)
+
+
+def configuration_of(version, is_large):
+    """Return a configuration; a large one is sent as a patch."""
+    routes = list(ROUTES)
+    for number in range(60 if is_large else 0):
+        routes.append(route(f"r-{number}", "safe", f"/part-{number}/"))
+    return orjson.dumps(configuration(version, routes))
+
+
+CHANGES = {
+    "a configuration": ("op/config", configuration_of(2, False)),
+    "a large configuration": ("op/config", configuration_of(2, True)),
+    "a target that leaves": ("servers/i-00000001", LEAVING_ENTRY),
+    "a removed target": ("servers/i-00000001", None),
+    "a removed host": (documents.HOST_PREFIX + "edge-9", None),
+    "a new host": (documents.HOST_PREFIX + "edge-8", OTHER_HOST),
+    "a target": ("servers/i-00000008", target_entry(8)),
+    "a host": (documents.HOST_PREFIX + "edge-8", OTHER_HOST),
+}
+
+
+class ScriptedStore:
+    """A store whose calls are answered by functions of a scenario."""
+
+    def __init__(self, on_watch=None, on_read=None):
+        self.on_watch = on_watch
+        self.on_read = on_read
+
+    async def watch(self, prefix, after, wait_s):
+        return self.on_watch()
+
+    async def read_prefix(self, prefix):
+        return self.on_read(prefix)
+
+
+class HostGroup:
+    """Hosts that exchange messages, and whose store calls a scenario makes.
+
+    Attributes
+    ----------
+    hub, member : SimpleNamespace
+        The hub of the only failure domain, and another host of it.
+    """
+
+    def __init__(self):
+        first = configuration_of(1, False)
+        self.fleet = VirtualFleet([100.0] * 2, 1, orjson.loads(first), targets=3)
+        self.fleet.loop.links["10.0.0.77"] = Link(100.0)
+        self.shared = self.fleet.shared
+        for host in self.fleet.hosts.values():
+            self.shared.put(*documents.encode_host(host.settings))
+        self.shared.put(documents.HOST_PREFIX + "edge-9", OTHER_HOST)
+        self.revision = self.shared.revision
+        for host in self.fleet.hosts.values():
+            host.view.apply(list(self.shared.items.values()))
+            host.view.replica.advance(self.revision)
+        first, second = self.fleet.hosts.values()
+        first.gossip.membership.choose_roles()
+        is_first = first.gossip.membership.is_hub
+        self.hub, self.member = (first, second) if is_first else (second, first)
+
+    def write(self, key, value):
+        """Write or remove a key in the store and return the item."""
+        if value is not None:
+            self.shared.put(key, value)
+            return self.shared.items[key]
+        return self.shared.remove(key)
+
+    def run(self, scenario):
+        """Run a coroutine and wait until the hosts have exchanged their messages."""
+
+        async def play():
+            works = []
+            for host in self.fleet.hosts.values():
+                CURRENT_HOST.set(host.settings.address)
+                await host.gossip.start()
+                await host.copies.start()
+            for host in self.fleet.hosts.values():
+                CURRENT_HOST.set(host.settings.address)
+                works.append(asyncio.ensure_future(host.gossip.run()))
+            CURRENT_HOST.set(self.hub.settings.address)
+            await scenario
+            await asyncio.sleep(SETTLE_S)
+            for work in works:
+                work.cancel()
+
+        self.fleet.loop.run_until_complete(play())
+        self.fleet.loop.close()
+
+
+def learn(host, items):
+    """Let a host learn of changes as by a datagram whose copies to others are lost."""
+    host.view.apply(items)
+    host.view.replica.advance(max(item.revision for item in items))
+
+
+@given("store changes: two hosts with 3 targets and a configuration")
+def step_group(context):
+    context.group = HostGroup()
+
+
+@when(
+    "store changes: one host learns of {change} from elsewhere while it prepares "
+    "{message}"
+)
+def step_prepare(context, change, message):
+    group = context.group
+    sender = group.hub
+    early = group.write(*CHANGES[change])
+    late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
+
+    def watched_page():
+        learn(sender, [early])
+        return ItemPage([early, late], late.revision)
+
+    def history_lost():
+        raise HistoryLost("scripted")
+
+    def listed_page(prefix):
+        if early.revision > sender.view.replica.revision:
+            learn(sender, [early])
+        items = [x for x in group.shared.items.values() if x.key.startswith(prefix)]
+        return ItemPage(items, late.revision)
+
+    async def relay():
+        # A listing in pages has items that are newer than the revision it is good for.
+        sender.view.apply([early])
+        changes, patches = sender.gossip.patch_maker.split_changes([early, late], {})
+        message = group.member.gossip.make_message(Outbox(), to_hub=True)
+        message.host_id = "edge-9"
+        message.revision = late.revision
+        message.changes_after = group.revision
+        message.changes = changes
+        message.patches = patches
+        sender.gossip.apply_changes(message)
+
+    if message == "a relayed change":
+        group.run(relay())
+        return
+    on_watch = watched_page if message == "a watched page" else history_lost
+    sender.follower.store = ScriptedStore(on_watch, listed_page)
+    group.run(sender.follower.watch_once())
+
+
+@when(
+    "store changes: one host lists the store after another has seen {key} come, and it "
+    "went"
+)
+def step_list(context, key):
+    group = context.group
+    learn(group.member, [group.write(*CHANGES[key])])
+    group.write(CHANGES[key][0], None)
+    late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
+
+    def listed_page(prefix):
+        items = [x for x in group.shared.items.values() if x.key.startswith(prefix)]
+        return ItemPage(items, late.revision)
+
+    group.hub.follower.store = ScriptedStore(None, listed_page)
+    group.run(group.hub.follower.list_once())
+
+
+@then("store changes: the other host has all that the first one has")
+def step_same(context):
+    group = context.group
+    for host in (group.hub, group.member):
+        replica = host.view.replica
+        assert replica.revision == group.shared.revision, replica.revision
+        assert replica.items == group.shared.items, difference(group, replica)
+    assert group.hub.view.configuration == group.member.view.configuration
+
+
+def difference(group, replica):
+    """Return the keys whose revision in a replica is not that of the store."""
+    found = {}
+    for key in replica.items.keys() | group.shared.items.keys():
+        known, stored = replica.items.get(key), group.shared.items.get(key)
+        if known != stored:
+            found[key] = (known and known.revision, stored and stored.revision)
+    return found
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -295,6 +295,14 @@
         self.history.append(self.items[key])
         return self.revision
 
+    def remove(self, key):
+        """Remove a key and return its removal."""
+        self.revision += 1
+        del self.items[key]
+        removal = StoreItem(key, self.revision, None)
+        self.history.append(removal)
+        return removal
+
 
 class VirtualPool:
     """Targets that answer after a while, or refuse to run a share of the requests."""
@@ -437,11 +445,11 @@
     return HostSettings(**{name: x for name, x in fields.items() if name in known})
 
 
-def target_entry(number):
+def target_entry(number, state="ready", cold_ms=0):
     return orjson.dumps(
         {
             "address": f"10.9.{number // 200}.{number % 200 + 1}:8080",
             "info": {"service": "pedidos", "version": "v1", "zone": "d0", "slots": 2},
-            "status": {"state": "ready", "seqNo": 4, "coldRemainingMs": 0},
+            "status": {"state": state, "seqNo": 4, "coldRemainingMs": cold_ms},
         }
     )
--- a/oleanderroute/decisions/replica.py
+++ b/oleanderroute/decisions/replica.py
@@ -1,11 +1,31 @@
-"""A host's replica of the store's items, updated by its own calls and by peers."""
-
+"""A host's replica of the store's items, updated by its own calls and by peers.
+
+The hosts read the store by watches and listings, and tell each other what they know by
+datagrams, which hubs relay, and by copies. From each of these a receiver may conclude
+only this:
+
+- Changes of the range ``(after, revision]`` (a watched page, a datagram with changes, a
+  partial copy) hold the newest state of every key that changed in it. A receiver that
+  knows all changes up to ``after`` or later then knows all up to ``revision``. The
+  sender therefore takes them from its whole replica with ``changes_after``: what is new
+  to the sender itself is only a part of them.
+- A listing of a prefix (a read of the store, a complete copy) lacks the keys that were
+  removed at or before its revision, including keys that its reader has never seen. It
+  says which keys exist, not what has changed, so it is not passed on as changes.
+- A revision alone says that its sender knows more. The receiver fetches a copy.
+- A state at or below the receiver's own revision that the receiver does not have is
+  obsolete: the key has been written or removed since.
+"""
+
+from bisect import bisect_right, insort
 from collections import deque
 
 from ..host.model import StoreItem
 
 # Removals that are kept, so that a peer can be sent the changes after a revision.
 MAX_REMOVED = 2000
+# Outdated entries of the order of changes that are dropped together.
+MIN_OUTDATED = 256
 # Older large values that are kept, so that a peer that has one of them can be sent the
 # difference.
 MIN_KEPT_BYTES = 2048
@@ -28,6 +48,9 @@
         self.items: dict[str, StoreItem] = {}
         self.removed = {}
         self.removal_order = deque()
+        # Revision and key of each change in the order of revisions. An entry is
+        # outdated once its key has a newer change.
+        self.change_order: list[tuple[int, str]] = []
         self.previous: deque[StoreItem] = deque()
         self.previous_bytes = 0
         # Removals at or below this revision may no longer be kept.
@@ -40,6 +63,7 @@
         if item.revision <= self.revision_of(item.key):
             return False
         self.keep_previous(item.key)
+        self.remember_order(item)
         if item.value is None:
             was_known = self.items.pop(item.key, None) is not None
             self.remember_removal(item)
@@ -82,6 +106,18 @@
             return item.revision
         return self.removed.get(key, 0)
 
+    def remember_order(self, item):
+        """Enter a change into the order of changes."""
+        insort(self.change_order, (item.revision, item.key))
+        current = len(self.items) + len(self.removed)
+        if len(self.change_order) <= 2 * current + MIN_OUTDATED:
+            return
+        self.change_order = [
+            (revision, key)
+            for revision, key in self.change_order
+            if revision == self.revision_of(key)
+        ]
+
     def remember_removal(self, item):
         """Keep a removal until `MAX_REMOVED` newer ones have followed."""
         self.removed[item.key] = item.revision
@@ -120,14 +156,21 @@
         self.revision = max(self.revision, revision)
 
     def changes_after(self, revision):
-        """Return the changes after a revision, or None if some may be missing."""
+        """Return the newest state of each key that changed after a revision.
+
+        Returns
+        -------
+        list of StoreItem or None
+            In the order of revisions; None if some changes may be missing.
+        """
         if revision < self.removals_known_after or revision <= 0:
             return None
         found = []
-        for item in self.items.values():
-            if item.revision > revision:
+        first = bisect_right(self.change_order, revision, key=lambda entry: entry[0])
+        for changed_at, key in self.change_order[first:]:
+            item = self.items.get(key)
+            if item is not None and item.revision == changed_at:
                 found.append(item)
-        for key, removed_at in self.removed.items():
-            if removed_at > revision:
-                found.append(StoreItem(key, removed_at, None))
-        return sorted(found, key=lambda item: item.revision)
+            elif self.removed.get(key) == changed_at:
+                found.append(StoreItem(key, changed_at, None))
+        return found
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -192,22 +192,22 @@
             await self.sleep_before_retry()
             return
         self.record_store_success()
-        news = self.view.apply(page.items)
+        self.view.apply(page.items)
         replica.advance(page.revision)
         self.must_list = self.transfer_s(page.items) > MAX_PAGE_TRANSFER_S
         if page.items:
-            self.gossip.announce_changes(news, after)
+            self.gossip.announce_changes(after)
             await asyncio.sleep(BATCH_PAUSE_S)
 
     async def list_once(self):
-        """Read all items and announce their changes."""
+        """Read all items and announce the new revision."""
         after = self.view.replica.revision
         changes = await self.load_from_store()
         if changes is None:
             await self.sleep_before_retry()
             return
         self.must_list = self.transfer_s(changes) > MAX_PAGE_TRANSFER_S
-        self.gossip.announce_changes(changes, after)
+        self.gossip.announce_changes(after)
 
     def transfer_s(self, items):
         """Return for how long items of the store take the link; 0 if not known."""
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -304,15 +304,20 @@
         while not self.hub_outbox.is_empty():
             self.send(self.make_message(self.hub_outbox, to_hub=True), hubs)
 
-    def announce_changes(self, items, after):
-        """Send changes of the store that follow revision ``after``.
+    def announce_changes(self, after):
+        """Send all changes of the store that this host knows after a revision.
 
-        Of changes that are too large for a datagram only the revision is sent; the
-        other hosts fetch them.
+        Of changes that are too large for a datagram, or that may be incomplete, only
+        the revision is sent; the other hosts fetch them.
+
+        Parameters
+        ----------
+        after : int
+            Revision that this host knew before the changes arrived.
         """
-        newest = {item.key: item for item in items}.values()
+        items = self.view.replica.changes_after(after) or ()
         changes, patches = self.patch_maker.split_changes(
-            newest, self.patch_maker.bases_before(newest, after)
+            items, self.patch_maker.bases_before(items, after)
         )
         size = 0
         for change in changes:
@@ -491,12 +496,11 @@
             if self.on_newer_revision is not None:
                 self.on_newer_revision(message.host_id, message.revision)
             return
-        after = message.changes_after
         before = replica.revision
         self.view.apply(items)
         replica.advance(message.revision)
         if self.membership.is_hub:
-            self.announce_changes(items, max(before, after))
+            self.announce_changes(before)
 
     def decode_changes(self, message):
         """Return the items of a message, or None if they do not suffice."""
