Keep a large value that a host knows when it reads a whole copy

The hosts logged 'the key was removed' of the configuration, which nobody had removed.

Cause: large values travel as patches. A receiver that already knew the value skipped its patch, and when the copy was a whole one, the key then counted as missing from the listing and so as removed at the copy's revision. This false removal went on to others by datagrams and copies. The configuration in force stayed, but a host that was behind got the removal in place of the newer configuration and kept the older one until the next was written; hosts that started from a copy got none. Whole copies are sent by hosts that have listed the store, so it came at starts, restarts and after a lost history.

The scenario 'A whole copy keeps a large configuration' and the fleet of seed 6 failed before this change and pass with it.

Fix: restore_items returns the replica's own item in place of a patch that is not newer, so the key stays listed; its revision keeps it from changing anything.

--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -1,4 +1,6 @@
 import asyncio
+import contextlib
+import random
 
 import orjson
 from behave import given, then, when
@@ -12,6 +14,10 @@
 
 # Longer than it takes a host to find that it is behind and to fetch what it lacks.
 SETTLE_S = 1.0
+# Bound on a change until it is in force, of the users' pages.
+APPLY_S = 2.0
+WRITING_S = 1.5
+WRITE_INTERVAL_S = 0.25
 LEAVING_ENTRY = target_entry(1, state="draining")
 OTHER_HOST = orjson.dumps(
     {
@@ -166,22 +172,36 @@
     group.run(sender.follower.watch_once())
 
 
+def list_store(group):
+    """Let the hub list the store after another change."""
+    late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
+
+    def listed_page(prefix):
+        items = [x for x in group.shared.items.values() if x.key.startswith(prefix)]
+        return ItemPage(items, late.revision)
+
+    group.hub.follower.store = ScriptedStore(None, listed_page)
+    group.run(group.hub.follower.list_once())
+
+
 @when(
     "store changes: one host lists the store after another has seen {key} come, and it "
     "went"
 )
-def step_list(context, key):
+def step_list_gone(context, key):
     group = context.group
     learn(group.member, [group.write(*CHANGES[key])])
     group.write(CHANGES[key][0], None)
-    late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
+    list_store(group)
 
-    def listed_page(prefix):
-        items = [x for x in group.shared.items.values() if x.key.startswith(prefix)]
-        return ItemPage(items, late.revision)
 
-    group.hub.follower.store = ScriptedStore(None, listed_page)
-    group.run(group.hub.follower.list_once())
+@when("store changes: one host lists the store while both know {key}")
+def step_list_known(context, key):
+    group = context.group
+    known = group.write(*CHANGES[key])
+    for host in (group.hub, group.member):
+        learn(host, [known])
+    list_store(group)
 
 
 @then("store changes: the other host has all that the first one has")
@@ -190,15 +210,151 @@
     for host in (group.hub, group.member):
         replica = host.view.replica
         assert replica.revision == group.shared.revision, replica.revision
-        assert replica.items == group.shared.items, difference(group, replica)
+        assert replica.items == group.shared.items, difference(group.shared, replica)
     assert group.hub.view.configuration == group.member.view.configuration
 
 
-def difference(group, replica):
+def difference(shared, replica):
     """Return the keys whose revision in a replica is not that of the store."""
     found = {}
-    for key in replica.items.keys() | group.shared.items.keys():
-        known, stored = replica.items.get(key), group.shared.items.get(key)
+    for key in replica.items.keys() | shared.items.keys():
+        known, stored = replica.items.get(key), shared.items.get(key)
         if known != stored:
             found[key] = (known and known.revision, stored and stored.revision)
     return found
+
+
+@given(
+    "store changes: {domains:d} failure domains of {hosts:d} hosts, {targets:d} "
+    "targets and a large configuration"
+)
+def step_fleet(context, domains, hosts, targets):
+    document = orjson.loads(configuration_of(1, True))
+    context.fleet = VirtualFleet([100.0] * hosts, domains, document, targets)
+
+
+class StoreWriter:
+    """Writes to the store as operators and targets do.
+
+    Parameters
+    ----------
+    shared : SharedStore
+    rng : random.Random
+    """
+
+    def __init__(self, shared, rng, targets):
+        self.shared = shared
+        self.rng = rng
+        self.version = 1
+        self.next_target = targets
+        self.ready = list(range(targets))
+        self.leaving = []
+
+    def write(self):
+        """Make one change at random."""
+        way = self.rng.randrange(4)
+        if way == 0:
+            self.version += self.rng.randrange(1, 4)
+            self.shared.put("op/config", configuration_of(self.version, True))
+        elif way == 1 and len(self.ready) > 3:
+            number = self.ready.pop(self.rng.randrange(len(self.ready)))
+            self.leaving.append(number)
+            self.put_target(number, state="draining")
+        elif way == 2 and self.leaving:
+            number = self.leaving.pop(self.rng.randrange(len(self.leaving)))
+            self.shared.remove(f"servers/i-{number:08x}")
+        else:
+            self.ready.append(self.next_target)
+            self.put_target(self.next_target)
+            self.next_target += 1
+
+    def put_target(self, number, **others):
+        self.shared.put(f"servers/i-{number:08x}", target_entry(number, **others))
+
+
+async def write_for(fleet, writer, seconds):
+    """Write at random times, at times several changes at once."""
+    rng = writer.rng
+    ends_at = fleet.loop.now + seconds
+    while fleet.loop.now < ends_at:
+        await asyncio.sleep(rng.expovariate(1.0 / WRITE_INTERVAL_S))
+        for _ in range(rng.choice((1, 1, 2, 6))):
+            writer.write()
+
+
+async def forget_by_times(fleet):
+    """Let the store lose its history now and then."""
+    while True:
+        await asyncio.sleep(fleet.loop.rng.uniform(0.5, 2.0))
+        fleet.shared.forgotten_up_to = fleet.shared.revision
+
+
+async def restart_by_turns(fleet):
+    """Restart one host after the other."""
+    while True:
+        host_id = fleet.loop.rng.choice(list(fleet.hosts))
+        await fleet.restart_host(host_id, 0.3)
+        await asyncio.sleep(0.7)
+
+
+TROUBLES = {
+    "meets no trouble": (),
+    "gets late answers": ("late",),
+    "loses datagrams": ("lossy",),
+    "meets a forgetful store": ("forgetful",),
+    "restarts its hosts by turns": ("restarts",),
+    "meets all troubles": ("late", "lossy", "forgetful", "restarts"),
+}
+
+
+@contextlib.asynccontextmanager
+async def trouble_of(fleet, kinds):
+    """Bring troubles of some kinds until the context ends."""
+    fleet.shared.late_share = 0.3 if "late" in kinds else 0.0
+    fleet.loop.datagram_loss = 0.1 if "lossy" in kinds else 0.0
+    works = []
+    if "forgetful" in kinds:
+        works.append(asyncio.ensure_future(forget_by_times(fleet)))
+    if "restarts" in kinds:
+        works.append(asyncio.ensure_future(restart_by_turns(fleet)))
+    try:
+        yield
+    finally:
+        fleet.shared.late_share = fleet.loop.datagram_loss = 0.0
+        for work in works:
+            work.cancel()
+        await asyncio.gather(*works, return_exceptions=True)
+        for host_id in fleet.hosts.keys() - fleet.works.keys():
+            fleet.start_host(host_id)
+
+
+@when(
+    "store changes: the fleet {trouble} while the store is written to, {rounds:d} "
+    "times, seed {seed:d}"
+)
+def step_write(context, trouble, rounds, seed):
+    fleet = context.fleet
+    fleet.loop.rng.seed(seed)
+    fleet.start_spread_s = 0.3
+    writer = StoreWriter(fleet.shared, random.Random(seed), len(fleet.shared.items) - 1)
+    context.differences = []
+
+    async def scenario():
+        for number in range(rounds):
+            async with trouble_of(fleet, TROUBLES[trouble]):
+                await write_for(fleet, writer, WRITING_S)
+            await asyncio.sleep(APPLY_S)
+            for host_id, host in fleet.hosts.items():
+                found = difference(fleet.shared, host.view.replica)
+                known = host.view.configuration
+                version = known and known.version
+                if found or version != writer.version:
+                    late = (number, host_id, version, writer.version, found)
+                    context.differences.append(late)
+
+    fleet.run(scenario())
+
+
+@then("store changes: 2 s after each time all hosts have what the store holds")
+def step_all_same(context):
+    assert not context.differences, context.differences
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -40,3 +40,34 @@
       | key       |
       | a target  |
       | a host    |
+
+  # Guards against a configuration that is taken for removed because a whole copy was read
+  # without the values that its receiver knew already ("the key was removed" in the logs of
+  # the users' own machines, CONFIG and DENIED there).
+  Scenario Outline: Store changes: A whole copy keeps <key> that its receiver knows already
+    Given store changes: two hosts with 3 targets and a configuration
+    When store changes: one host lists the store while both know <key>
+    Then store changes: the other host has all that the first one has
+
+    Examples:
+      | key                   |
+      | a configuration       |
+      | a large configuration |
+      | a target that leaves  |
+      | a new host            |
+
+  # Guards against hosts that differ from the store once its changes have stopped, whatever
+  # came in between (CONFIG, DRAIN and DENIED on the users' own machines).
+  Scenario Outline: Store changes: A fleet that <trouble> ends with what the store holds, seed <seed>
+    Given store changes: 3 failure domains of 5 hosts, 40 targets and a large configuration
+    When store changes: the fleet <trouble> while the store is written to, 8 times, seed <seed>
+    Then store changes: 2 s after each time all hosts have what the store holds
+
+    Examples:
+      | trouble                     | seed |
+      | meets no trouble            | 1    |
+      | gets late answers           | 2    |
+      | loses datagrams             | 3    |
+      | meets a forgetful store     | 4    |
+      | restarts its hosts by turns | 5    |
+      | meets all troubles          | 6    |
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -14,6 +14,7 @@
 import orjson
 
 from oleanderroute.entry.messages import TargetAnswer
+from oleanderroute.errors import HistoryLost
 from oleanderroute.host.copies import CopyServer
 from oleanderroute.host.fleetview import FleetView
 from oleanderroute.host.follower import StoreFollower
@@ -31,6 +32,8 @@
 # A datagram is lost if its link has more than this to send first.
 MAX_QUEUE_S = 0.2
 SERVICE_S = 0.1
+# Delay of an answer of the store whose packets were lost.
+LATE_ANSWER_S = (0.2, 0.9)
 CONTROL_PORT = 8166
 GOSSIP_PORT = 7720
 BYTES_PER_MBIT = 125_000
@@ -77,6 +80,8 @@
         self.endpoints = {}
         self.rng = random.Random(seed)
         self.lost_datagrams = 0
+        # Share of the datagrams that are lost whatever the links carry.
+        self.datagram_loss = 0.0
 
     def time(self):
         return self.now
@@ -111,7 +116,8 @@
 
     def send_datagram(self, data, source, target):
         up = self.links[source[0]]
-        if up.queue_s("up", self.now) > MAX_QUEUE_S:
+        is_lost = self.datagram_loss and self.rng.random() < self.datagram_loss
+        if is_lost or up.queue_s("up", self.now) > MAX_QUEUE_S:
             self.lost_datagrams += 1
             return
         sent_at = up.carry("up", len(data) + UDP_HEADER_BYTES, self.now)
@@ -247,6 +253,8 @@
     async def answer(self, items):
         """Return a page once its items, in base64, have passed the host's link."""
         revision = self.shared.revision
+        if self.shared.late_share and self.loop.rng.random() < self.shared.late_share:
+            await asyncio.sleep(self.loop.rng.uniform(*LATE_ANSWER_S))
         size = 200 + sum(len(item.value or b"") * 4 // 3 + 150 for item in items)
         link = self.loop.links[self.address]
         await asyncio.sleep(0.004)
@@ -263,6 +271,8 @@
 
     async def watch(self, prefix, after, wait_s):
         self.shared.calls += 1
+        if after < self.shared.forgotten_up_to:
+            raise HistoryLost(f"changes after {after}")
         ends_at = self.loop.now + wait_s
         while True:
             news = [x for x in self.shared.history if x.revision > after]
@@ -281,13 +291,23 @@
 
 
 class SharedStore:
-    """What the store holds, for all hosts."""
+    """What the store holds, for all hosts.
+
+    Attributes
+    ----------
+    late_share : float
+        Share of the answers that are late on their way to the host.
+    forgotten_up_to : int
+        The history at or below this revision is no longer available.
+    """
 
     def __init__(self):
         self.revision = 5
         self.items = {}
         self.history = []
         self.calls = 0
+        self.late_share = 0.0
+        self.forgotten_up_to = 0
 
     def put(self, key, value):
         self.revision += 1
@@ -351,6 +371,10 @@
         self.refused_share = 0.0
         # When each host had each version in force.
         self.in_force = {}
+        # The running task of each host.
+        self.works = {}
+        # The hosts start at random times within this time.
+        self.start_spread_s = 0.0
         for domain in range(domains):
             for number, mbps in enumerate(link_mbps):
                 self.add_host(domain, number, mbps)
@@ -392,20 +416,36 @@
             self.loop.close()
 
     async def run_hosts(self, scenario):
-        works = []
-        for host in self.hosts.values():
-            works.append(asyncio.ensure_future(self.run_host(host)))
+        for host_id in self.hosts:
+            self.start_host(host_id, self.loop.rng.uniform(0.0, self.start_spread_s))
         try:
             return await scenario
         finally:
-            for work in works:
-                work.cancel()
-            await asyncio.gather(*works, return_exceptions=True)
-            for host in self.hosts.values():
-                host.gossip.close()
-                host.copies.close()
-
-    async def run_host(self, host):
+            for host_id in list(self.hosts):
+                await self.stop_host(host_id)
+
+    def start_host(self, host_id, delay_s=0.0):
+        work = self.run_host(self.hosts[host_id], delay_s)
+        self.works[host_id] = asyncio.ensure_future(work)
+
+    async def stop_host(self, host_id):
+        work = self.works.pop(host_id)
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+        self.hosts[host_id].gossip.close()
+        self.hosts[host_id].copies.close()
+
+    async def restart_host(self, host_id, pause_s):
+        """Stop a host without a notice and start it with empty memory."""
+        settings = self.hosts[host_id].settings
+        await self.stop_host(host_id)
+        await asyncio.sleep(pause_s)
+        _, domain, number = host_id.split("-")
+        self.add_host(int(domain), int(number), settings.link_mbps)
+        self.start_host(host_id)
+
+    async def run_host(self, host, delay_s):
+        await asyncio.sleep(delay_s)
         CURRENT_HOST.set(host.settings.address)
         await host.gossip.start()
         await host.copies.start()
--- a/oleanderroute/host/patches.py
+++ b/oleanderroute/host/patches.py
@@ -90,6 +90,9 @@
 def restore_items(replica, changes, patches):
     """Return the ``StoreItem`` list of received changes and patches.
 
+    Of a large value that the replica knows in this state or a newer one, the replica's
+    own item is returned, so that a listing still holds its key.
+
     Raises
     ------
     PatchBaseMissing
@@ -102,6 +105,9 @@
         items.append(StoreItem(change.key, change.revision, change.value))
     for patch in patches or ():
         if patch.revision <= replica.revision_of(patch.key):
+            known = replica.items.get(patch.key)
+            if known is not None:
+                items.append(known)
             continue
         base = b""
         if patch.base_revision:
