Ignore a late answer of the store that tells of what is gone

Cause: an answer of the store that is under way while the replica advances by a copy can tell of a key that was added and removed meanwhile. The copy lacks the key, so nothing of its removal is kept, and the late answer entered it as new. The next watch begins behind the removal, so nothing took it out again.

Evidence: 'A late watched page / listing does not bring back a target / a host', 4 of 4 failed before this change and pass with it.

Fix: a change at or below the revision that the replica knows completely is obsolete. Listings at that revision or above it still correct the replica. A host also cancels its fetches when it stops; in the tests they were destroyed pending.

--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -204,6 +204,37 @@
     list_store(group)
 
 
+@when("store changes: a {answer} tells of {key} after a whole copy without it has come")
+def step_late_answer(context, answer, key):
+    group = context.group
+    group.write(*CHANGES[key])
+    earlier = list(group.shared.items.values())
+    earlier_revision = group.shared.revision
+    news = group.shared.history[-1:]
+    group.write(CHANGES[key][0], None)
+    late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
+
+    def receive_copy():
+        items = list(group.shared.items.values())
+        for host in (group.hub, group.member):
+            host.view.apply_listing("", items, late.revision)
+            host.view.replica.advance(late.revision)
+
+    def watched_page():
+        receive_copy()
+        return ItemPage(news, earlier_revision)
+
+    def listed_page(prefix):
+        receive_copy()
+        items = [x for x in earlier if x.key.startswith(prefix)]
+        return ItemPage(items, earlier_revision)
+
+    follower = group.hub.follower
+    follower.store = ScriptedStore(watched_page, listed_page)
+    is_watch = answer == "watched page"
+    group.run(follower.watch_once() if is_watch else follower.list_once())
+
+
 @then("store changes: the other host has all that the first one has")
 def step_same(context):
     group = context.group
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -56,6 +56,20 @@
       | a target that leaves  |
       | a new host            |
 
+  # Guards against a target or a host that is used again after it is gone, because an answer
+  # of the store that tells of its coming was late.
+  Scenario Outline: Store changes: A late <answer> does not bring back <key> that is gone
+    Given store changes: two hosts with 3 targets and a configuration
+    When store changes: a <answer> tells of <key> after a whole copy without it has come
+    Then store changes: the other host has all that the first one has
+
+    Examples:
+      | answer       | key      |
+      | watched page | a target |
+      | watched page | a host   |
+      | listing      | a target |
+      | listing      | a host   |
+
   # Guards against hosts that differ from the store once its changes have stopped, whatever
   # came in between (CONFIG, DRAIN and DENIED on the users' own machines).
   Scenario Outline: Store changes: A fleet that <trouble> ends with what the store holds, seed <seed>
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -434,6 +434,7 @@
         await asyncio.gather(work, return_exceptions=True)
         self.hosts[host_id].gossip.close()
         self.hosts[host_id].copies.close()
+        self.hosts[host_id].follower.close()
 
     async def restart_host(self, host_id, pause_s):
         """Stop a host without a notice and start it with empty memory."""
--- a/oleanderroute/decisions/replica.py
+++ b/oleanderroute/decisions/replica.py
@@ -59,7 +59,14 @@
         self.confirmed_at = None
 
     def apply(self, item):
-        """Apply one change and return whether it changed the replica."""
+        """Apply one change and return whether it changed the replica.
+
+        A change at or below ``revision`` is obsolete, also if its key is not known.
+        """
+        return item.revision > self.revision and self.enter(item)
+
+    def enter(self, item):
+        """Enter the state of a key unless it is known in this state or a newer one."""
         if item.revision <= self.revision_of(item.key):
             return False
         self.keep_previous(item.key)
@@ -132,12 +139,14 @@
         """Apply a complete listing of a prefix and return the changes.
 
         A key that is missing from the listing was removed at or before ``revision``.
+        Of a listing that is older than the replica, only later changes apply.
         """
         changes = []
         listed = set()
+        enter = self.enter if revision >= self.revision else self.apply
         for item in items:
             listed.add(item.key)
-            if self.apply(item):
+            if enter(item):
                 changes.append(item)
         for key in list(self.items):
             if not key.startswith(prefix) or key in listed:
@@ -145,7 +154,7 @@
             if self.items[key].revision > revision:
                 continue
             removal = StoreItem(key, revision, None)
-            if self.apply(removal):
+            if self.enter(removal):
                 changes.append(removal)
         # Keys that were added and removed between two listings were never seen.
         self.removals_known_after = max(self.removals_known_after, revision)
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -81,6 +81,11 @@
         """The ``HostSettings`` in force."""
         return self.view.settings
 
+    def close(self):
+        """Stop fetching changes from other hosts."""
+        for fetch in self.fetches:
+            fetch.cancel()
+
     # Start
 
     async def load(self):
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -175,6 +175,7 @@
         stack.callback(self.pool.close)
         stack.callback(self.gossip.close)
         stack.callback(self.copies.close)
+        stack.callback(self.follower.close)
         await self.gossip.start()
         await self.copies.start()
         await self.status_server.start()
