Refuse odd entries of other writers before they reach a request or a message

Report of operators: one odd entry among those of the backends made the machines that read the list end again and again, or stop following it.

Can it happen here: in part. A port of 5,000 digits raised ValueError out of the decoder, so the watch ended with TASK_FAILED, and of a listing everything behind the entry was dropped for good, a configuration among it. An address that is no IP address, an id with a line break or beyond Latin-1, and a start or slots beyond the fields of the messages were accepted: a request to such a target is answered 500 or carries a broken header, and the batch of findings that names it is lost. Deep nesting, broken text and numbers beyond a double were refused before.

Fix: the decoders check ids, IPv4 addresses, ports and the ranges of numbers, of hosts' entries too, and refuse the entry with its path.

--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import json
 import random
 
 import orjson
@@ -235,6 +236,82 @@
     group.run(follower.watch_once() if is_watch else follower.list_once())
 
 
+ODD_VALUES = {
+    "a value nested 100000 deep": b"[" * 100_000,
+    "a value that is no text": b"\xff\xfe",
+    "half of a character": b'{"address": "\\ud800"}',
+}
+ODD_FIELDS = {
+    "a port of 5000 digits": ("address", "10.9.0.2:" + "1" * 5000),
+    "a port of 65536": ("address", "10.9.0.2:65536"),
+    "a port of digits not in ASCII": ("address", "10.9.0.2:\u0661\u0662"),
+    "a name of no host": ("address", "a..b:80"),
+    "an address with a line break": ("address", "10.9.0.2\r\n:80"),
+    "slots beyond 64 bits": ("slots", 10**30),
+    "more slots than requests": ("slots", 2**63),
+    "a start beyond a message": ("born", 2**63),
+    "a negative start": ("born", -(2**63)),
+    "a slowness without end": ("coldRemainingMs", 1e308),
+}
+ODD_IDS = {
+    "a line break in its id": "i-1\r\nX-Attempt-Id: 1",
+    "an id beyond latin letters": "i-\u65e5",
+    "no id": "",
+}
+
+
+def odd_entry(oddity):
+    """Return the key and the value of an entry."""
+    key = f"servers/{ODD_IDS.get(oddity, 'i-odd')}"
+    if oddity in ODD_VALUES:
+        return key, ODD_VALUES[oddity]
+    document = orjson.loads(target_entry(7))
+    name, value = ODD_FIELDS.get(oddity, ("born", 1))
+    place = document
+    if name == "slots":
+        place = document["info"]
+    elif name == "coldRemainingMs":
+        place = document["status"]
+    place[name] = value
+    return key, json.dumps(document).encode()
+
+
+@when("store changes: a watched page and a listing hold an entry with {oddity}")
+def step_odd_entry(context, oddity):
+    group = context.group
+    odd = group.write(*odd_entry(oddity))
+    group.write(*CHANGES["a target that leaves"])
+    late = group.write(*CHANGES["a configuration"])
+    news = group.shared.history[-3:]
+
+    def listed_page(prefix):
+        items = [x for x in group.shared.items.values() if x.key.startswith(prefix)]
+        return ItemPage(items, late.revision)
+
+    watcher, lister = group.hub.follower, group.member.follower
+    watcher.store = ScriptedStore(lambda: ItemPage(news, late.revision))
+    lister.store = ScriptedStore(None, listed_page)
+
+    async def read():
+        await watcher.watch_once()
+        await lister.list_once()
+
+    group.run(read())
+    context.odd_id = odd.key.removeprefix("servers/")
+
+
+@then(
+    "store changes: no host has a target of it, and the others are as they were listed"
+)
+def step_no_odd_target(context):
+    for host in (context.group.hub, context.group.member):
+        assert context.odd_id not in host.view.targets, host.view.targets
+        listed = {f"i-{number:08x}" for number in range(3)}
+        assert set(host.view.targets) == listed
+        assert host.view.targets["i-00000001"].entry.is_leaving
+        assert host.view.configuration.version == 2
+
+
 @then("store changes: the other host has all that the first one has")
 def step_same(context):
     group = context.group
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -70,6 +70,33 @@
       | listing      | a target |
       | listing      | a host   |
 
+  # Guards against one odd entry of another writer that stops a host from reading the
+  # entries beside it, that a host takes for a target, or that breaks a request or a
+  # message of the host later (operators' report).
+  Scenario Outline: Store changes: A target's entry with <oddity> is no target and leaves the others
+    Given store changes: two hosts with 3 targets and a configuration
+    When store changes: a watched page and a listing hold an entry with <oddity>
+    Then store changes: no host has a target of it, and the others are as they were listed
+
+    Examples:
+      | oddity                        |
+      | a value nested 100000 deep    |
+      | a value that is no text       |
+      | half of a character           |
+      | a port of 5000 digits         |
+      | a port of 65536               |
+      | a port of digits not in ASCII |
+      | a name of no host             |
+      | an address with a line break  |
+      | slots beyond 64 bits          |
+      | more slots than requests      |
+      | a start beyond a message      |
+      | a negative start              |
+      | a slowness without end        |
+      | a line break in its id        |
+      | an id beyond latin letters    |
+      | no id                         |
+
   # Guards against hosts that differ from the store once its changes have stopped, whatever
   # came in between (CONFIG, DRAIN and DENIED on the users' own machines).
   Scenario Outline: Store changes: A fleet that <trouble> ends with what the store holds, seed <seed>
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -1,5 +1,7 @@
 """Decoders of the configuration, target and host documents in the store."""
 
+import socket
+
 import orjson
 
 from ..errors import DocumentError
@@ -28,6 +30,12 @@
 }
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 DEFAULT_CONNECTION_LIMIT = 64
+# Entries of targets may come from any writer. Larger numbers than these don't fit the
+# messages between hosts, or would bind a host for longer than a target lives.
+MAX_SLOTS = 30_000
+MAX_COLD_MS = 24 * 3600 * 1000
+MAX_UNIX_MS = 2**63 - 1
+MAX_PORT = 65_535
 
 
 def parse_object(value, path):
@@ -73,6 +81,15 @@
     return int(value)
 
 
+def bounded_number(value, kinds, least, most, path):
+    """Return ``value`` after a check of its type and range."""
+    if isinstance(value, bool) or not isinstance(value, kinds):
+        raise DocumentError(path, "missing or of the wrong type")
+    if not least <= value <= most:
+        raise DocumentError(path, f"not between {least} and {most}")
+    return value
+
+
 def decode_configuration(value):
     """Decode the operators' configuration.
 
@@ -183,26 +200,28 @@
         If another program wrote the entry, or a field is missing or invalid.
     """
     document = parse_object(value, key)
+    target_id = parse_target_id(key)
     info = required_field(document, "info", dict, key)
     status = required_field(document, "status", dict, key)
     state = required_field(status, "state", str, key)
     if state not in IS_LEAVING_BY_STATE:
         raise DocumentError(f"{key}.status.state", f"unknown state {state!r}")
     address, port = parse_address(required_field(document, "address", str, key), key)
-    slots = required_field(info, "slots", int, key)
-    if slots <= 0:
-        raise DocumentError(f"{key}.info.slots", "not above zero")
-    cold_ms = status.get("coldRemainingMs", 0)
-    if isinstance(cold_ms, bool) or not isinstance(cold_ms, (int, float)):
-        raise DocumentError(f"{key}.status.coldRemainingMs", "not a number")
-    born = document.get("born", 0)
-    if isinstance(born, bool) or not isinstance(born, int):
-        raise DocumentError(f"{key}.born", "not an integer")
+    slots = bounded_number(info.get("slots"), int, 1, MAX_SLOTS, f"{key}.info.slots")
+    # A negative time is over, as zero is.
+    cold_ms = bounded_number(
+        status.get("coldRemainingMs", 0),
+        (int, float),
+        float("-inf"),
+        MAX_COLD_MS,
+        f"{key}.status.coldRemainingMs",
+    )
+    born = bounded_number(document.get("born", 0), int, 0, MAX_UNIX_MS, f"{key}.born")
     service = required_field(info, "service", str, key)
     if not service:
         raise DocumentError(f"{key}.info.service", "empty")
     return TargetEntry(
-        target_id=TargetId(key.removeprefix(TARGET_PREFIX)),
+        target_id=target_id,
         service=ServiceName(service),
         address=address,
         port=port,
@@ -214,14 +233,33 @@
     )
 
 
+def parse_target_id(key):
+    """Return the id in the key of a target; it is sent to the target in a header."""
+    target_id = key.removeprefix(TARGET_PREFIX)
+    if not target_id or not target_id.isascii() or not target_id.isprintable():
+        raise DocumentError(key, "not an id of printable ASCII characters")
+    return TargetId(target_id)
+
+
 def parse_address(text, path):
-    """Split ``address:port`` into the IP address and the port number."""
+    """Split ``address:port`` into the IPv4 address and the port number."""
     address, colon, port = text.rpartition(":")
-    if not colon or not address or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise DocumentError(path, f"not an address with a port: {text!r}")
+    if not colon or len(port) > len(str(MAX_PORT)) or not port.isascii():
+        raise DocumentError(path, "not an address with a port")
+    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise DocumentError(path, "not an address with a port")
+    check_address(address, path)
     return address, int(port)
 
 
+def check_address(address, path):
+    """Refuse what is not an IPv4 address; names are not looked up."""
+    try:
+        socket.inet_pton(socket.AF_INET, address)
+    except (OSError, ValueError) as error:
+        raise DocumentError(path, "not an IPv4 address") from error
+
+
 def decode_host(key, value):
     """Decode the registration of a host of the fleet.
 
@@ -230,16 +268,22 @@
     DocumentError
     """
     document = parse_object(value, key)
+    address = required_field(document, "address", str, key)
+    check_address(address, f"{key}.address")
+    ports = {}
+    for name in ("control_port", "gossip_port"):
+        ports[name] = bounded_number(
+            document.get(name), int, 1, MAX_PORT, f"{key}.{name}"
+        )
     return PeerHost(
         host_id=HostId(key.removeprefix(HOST_PREFIX)),
-        address=required_field(document, "address", str, key),
-        control_port=required_field(document, "control_port", int, key),
-        gossip_port=required_field(document, "gossip_port", int, key),
+        address=address,
         failure_domain=FailureDomain(
             required_field(document, "failure_domain", str, key)
         ),
         # Hosts of an older version do not write it.
         link_mbps=float(optional_positive_number(document, "link_mbps", 0.0, key)),
+        **ports,
     )
 
 
