Refuse late requests of a planned stop that could be cut at its end

Report of operators: in a planned stop of one machine, in calm, requests that came late in the grace were passed on and cut at its end without an answer.

Can it happen here: yes, in a narrow window. A host accepts connections for 2.6 s after the signal and closes idle ones 0.5 s later. A request that comes on a kept connection between 2.9 and 3.1 s, or whose head is slow, was forwarded whatever its deadline; one that lasts beyond 5.6 s was cut. Requests sent up to 3 s after the signal are work that may be cut, later ones are not.

Evidence: host_decisions.feature, 'A request that comes ... into a stop': the three rows of late requests with more time than the host has left fail without the check (run with it switched off) and pass with it.

Fix: such a request is refused at once as not run (reason stopping), so its caller can go to another host. Requests that end in time are forwarded as before.

--- a/features/host_decisions.feature
+++ b/features/host_decisions.feature
@@ -212,3 +212,18 @@
       | a negative age of the confirmation         | rejected |
       | a change without a key                     | rejected |
       | no host                                    | rejected |
+
+  # Guards against requests that arrive late in a planned stop, are sent to a target and
+  # cut without an answer when the host ends (operators' report).
+  Scenario Outline: host decisions: A request that comes <late_s> s into a stop with <left_s> s left is <result>
+    Then host decisions: a request that comes <late_s> s into a stop of 6 s with <left_s> s left is <result>
+
+    Examples:
+      | late_s | left_s | result    |
+      | 0.1    | 5.4    | forwarded |
+      | 2.5    | 4.0    | forwarded |
+      | 2.95   | 1.5    | forwarded |
+      | 2.95   | 4.0    | refused   |
+      | 3.3    | 2.4    | refused   |
+      | 5.0    | 1.5    | refused   |
+      | 5.0    | 0.4    | forwarded |
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -1,6 +1,8 @@
 """Steps on the decisions and documents of a host on the users' platform."""
 
 import asyncio
+import copy
+import json
 import os
 import random
 import time
@@ -14,7 +16,7 @@
 from hypothesis import strategies as st
 
 from features.support.fleet_views import make_view
-from features.support.platform_fleet import ROUTES, configuration
+from features.support.platform_fleet import HOST, ROUTES, configuration
 from features.support.processes import PORTS
 from features.support.thin_links import VirtualFleet, target_entry
 from oleanderroute import events
@@ -34,6 +36,7 @@
 from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.gossip_checks import check_gossip
 from oleanderroute.host.logsink import LogSink
+from oleanderroute.host.main import STOP_MARGIN_S
 from oleanderroute.host.model import (
     HostRoute,
     PeerHost,
@@ -42,7 +45,10 @@
     TargetEntry,
 )
 from oleanderroute.host.outbox import Outbox
+from oleanderroute.host.proxy import HostProxy
+from oleanderroute.host.refusal import HostReason, refusal_answer
 from oleanderroute.host.routes import PrefixRoutes
+from oleanderroute.outcome import CallerOutcome
 from oleanderroute.peer.codec import encode_message
 from oleanderroute.peer.gen.oleander_gossip.ttypes import (
     CrashNotice,
@@ -50,7 +56,7 @@
     ItemChange,
     Observation,
 )
-from oleanderroute.platform import documents, node_file
+from oleanderroute.platform import documents, headers, node_file
 
 HYPOTHESIS_SETTINGS = settings(
     max_examples=60, deadline=None, suppress_health_check=list(HealthCheck)
@@ -979,3 +985,46 @@
         assert verdict == "rejected"
         return
     assert verdict == "accepted"
+
+
+@then(
+    "host decisions: a request that comes {late_s:g} s into a stop of {grace_s:d} s "
+    "with {left_s:g} s left is {result:w}"
+)
+def step_late_in_stop(context, late_s, grace_s, left_s, result):
+    clock = ManualClock(100.0)
+    view = make_view(clock)
+    routes = copy.deepcopy(list(ROUTES))
+    routes[1]["spec"]["timeoutMs"] = 1000 * grace_s
+    document = json.dumps(configuration(1, routes)).encode()
+    view.apply([StoreItem(documents.CONFIGURATION_KEY, 1, document)])
+    forwarded = []
+
+    async def forward(exchange):
+        forwarded.append(exchange)
+        return refusal_answer(HostReason.NO_TARGET)
+
+    forwarder = SimpleNamespace(
+        run=forward, crashes=SimpleNamespace(is_refused=lambda exchange: False)
+    )
+    log = SimpleNamespace(finished=lambda exchange, answer: None)
+    proxy = HostProxy(view, forwarder, headers, log, clock, random.Random(1))
+    proxy.begin_stop(clock.now(), grace_s - STOP_MARGIN_S)
+    clock.advance(late_s)
+    request = SimpleNamespace(
+        method="POST",
+        raw_target=b"/order/1",
+        headers=[
+            (b"host", HOST.encode()),
+            (b"x-deadline-remaining", b"%d" % (left_s * 1000)),
+        ],
+        body=SimpleNamespace(length=0, limit=lambda most: None),
+        received_at=clock.now(),
+    )
+    answer = asyncio.run(proxy.handle(request))
+    if result == "forwarded":
+        assert len(forwarded) == 1
+        return
+    assert not forwarded
+    assert (answer.status, answer.reason) == (503, "stopping"), answer
+    assert answer.outcome is CallerOutcome.NOT_RUN
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -250,13 +250,13 @@
         self.is_draining = True
         events.DAEMON_DRAINING.log(in_flight=self.proxy.in_flight)
         self.caller_server.begin_draining()
+        limit_s = self.settings.stop_grace_s - STOP_MARGIN_S
+        self.proxy.begin_stop(started_at, limit_s)
         deregistration = asyncio.ensure_future(self.follower.deregister())
         await asyncio.sleep(BALANCER_DRAIN_S)
         await self.caller_server.stop_accepting()
         passed_s = self.clock.now() - started_at
-        await self.caller_server.finish(
-            max(0.1, self.settings.stop_grace_s - STOP_MARGIN_S - passed_s)
-        )
+        await self.caller_server.finish(max(0.1, limit_s - passed_s))
         deregistration.cancel()
         await self.close_status_ports()
 
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -1,5 +1,7 @@
 """Handles a caller's request, from the choice of its route to its answer."""
 
+from math import inf
+
 from .. import events
 from ..entry.messages import BodyTooLarge, CallerAnswer, TargetAnswer, read_body_prefix
 from ..errors import CallerDisconnected, format_failure
@@ -12,6 +14,9 @@
 # occupies no slot and a refused request can be sent to another target.
 BUFFERED_BODY_BYTES = 1024 * 1024
 ANSWERED = "answered"
+# Requests that were sent within 3 s of a stop signal belong to the work that may be cut
+# at the end of the grace period. A request arrives a little later than it was sent.
+LATE_IN_STOP_S = 2.9
 
 
 class HostProxy:
@@ -36,6 +41,27 @@
         self.clock = clock
         self.rng = rng
         self.in_flight = 0
+        # Once the host stops: from when on a request is late, and when it is cut.
+        self.late_from = inf
+        self.cut_at = inf
+
+    def begin_stop(self, started_at, limit_s):
+        """Forward late requests only if they end before the host does.
+
+        Parameters
+        ----------
+        started_at : float
+            Monotonic seconds of the stop signal.
+        limit_s : float
+            Seconds from then until requests in flight are cut.
+        """
+        self.late_from = started_at + LATE_IN_STOP_S
+        self.cut_at = started_at + limit_s
+
+    def may_be_cut(self, exchange):
+        """Tell whether a late request can last longer than the host."""
+        is_late = exchange.request.received_at > self.late_from
+        return is_late and exchange.deadline_at > self.cut_at
 
     async def handle(self, request):
         """Return the ``CallerAnswer`` of a ``CallerRequest``."""
@@ -51,6 +77,11 @@
         exchange = self.make_exchange(request, attempt_id, remaining_s)
         if not isinstance(exchange, Exchange):
             return self.refuse_without_route(request, attempt_id, exchange)
+        if self.may_be_cut(exchange):
+            # Another host can take it at once.
+            answer = refusal_answer(HostReason.STOPPING, retry_after_s=0.0)
+            self.request_log.finished(exchange, answer)
+            return answer
         try:
             request.body.limit(self.view.configuration.bounds.body_bytes)
             if request.body.length != 0:
--- a/oleanderroute/host/refusal.py
+++ b/oleanderroute/host/refusal.py
@@ -24,6 +24,7 @@
     TARGETS_REFUSED = "targets-refused"
     TARGETS_UNREACHABLE = "targets-unreachable"
     CRASH_QUARANTINE = "crash-quarantine"
+    STOPPING = "stopping"
     TARGET_BROKE = "target-broke"
     TARGET_TIMEOUT = "target-timeout"
     TARGET_UNPROVEN = "target-refused-without-proof"
@@ -44,6 +45,7 @@
     HostReason.TARGETS_REFUSED: 503,
     HostReason.TARGETS_UNREACHABLE: 503,
     HostReason.CRASH_QUARANTINE: 503,
+    HostReason.STOPPING: 503,
     HostReason.TARGET_BROKE: 502,
     HostReason.TARGET_TIMEOUT: 504,
     HostReason.TARGET_UNPROVEN: 502,
