Keep a host out of the store once it has deregistered for a stop

Cause: keep_registered went on while the host drained, found its entry gone and wrote it again under a new lease. The other hosts counted the ended host for up to 12 s, among other things for their share of the connection limits.

Evidence: store_changes.feature, 'A host that stops is not registered again while it drains' failed (entry written, removed, written again) and passes.

Fix: deregister ends the registration for good, also one that is under way; a lease that can't be ended is no longer renewed. The random fleets also compare which targets each host would use with what the store lists.

--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -332,6 +332,10 @@
     return found
 
 
+@given(
+    "store changes: {domains:d} failure domain of {hosts:d} hosts, {targets:d} "
+    "targets and a large configuration"
+)
 @given(
     "store changes: {domains:d} failure domains of {hosts:d} hosts, {targets:d} "
     "targets and a large configuration"
@@ -341,6 +345,29 @@
     context.fleet = VirtualFleet([100.0] * hosts, domains, document, targets)
 
 
+@when("store changes: a host deregisters and drains for {drain_s:g} s")
+def step_deregister(context, drain_s):
+    fleet = context.fleet
+    host = fleet.hosts["edge-0-1"]
+    key, _ = documents.encode_host(host.settings)
+
+    async def scenario():
+        await asyncio.sleep(3.0)
+        assert key in fleet.shared.items
+        await host.follower.deregister()
+        await asyncio.sleep(drain_s)
+
+    written_before = len(fleet.shared.history)
+    fleet.run(scenario())
+    news = [x for x in fleet.shared.history[written_before:] if x.key == key]
+    context.states = [item.value is not None for item in news]
+
+
+@then("store changes: its entry stays removed")
+def step_stays_removed(context):
+    assert context.states == [True, False], context.states
+
+
 class StoreWriter:
     """Writes to the store as operators and targets do.
 
@@ -454,6 +481,7 @@
             await asyncio.sleep(APPLY_S)
             for host_id, host in fleet.hosts.items():
                 found = difference(fleet.shared, host.view.replica)
+                found.update(view_difference(fleet.shared, host.view))
                 known = host.view.configuration
                 version = known and known.version
                 if found or version != writer.version:
@@ -466,3 +494,25 @@
 @then("store changes: 2 s after each time all hosts have what the store holds")
 def step_all_same(context):
     assert not context.differences, context.differences
+
+
+def view_difference(shared, view):
+    """Return the targets that a host would not use as the store lists them.
+
+    A target that may return after an outage of the store is in use for a while.
+    """
+    used = {}
+    for target_id, target in view.targets.items():
+        if target_id not in view.awaiting_return:
+            used[target_id] = target.entry.is_leaving
+    listed = {}
+    for key, item in shared.items.items():
+        if key.startswith(documents.TARGET_PREFIX):
+            entry = documents.decode_target(key, item.value)
+            listed[entry.target_id] = entry.is_leaving
+    found = {}
+    for target_id in used.keys() | listed.keys():
+        known, stored = used.get(target_id), listed.get(target_id)
+        if known != stored:
+            found[target_id] = (known, stored)
+    return found
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -70,6 +70,12 @@
       | listing      | a target |
       | listing      | a host   |
 
+  # Guards against a host that others count, and send messages to, after it has ended.
+  Scenario: Store changes: A host that stops is not registered again while it drains
+    Given store changes: 1 failure domain of 3 hosts, 5 targets and a large configuration
+    When store changes: a host deregisters and drains for 5.6 s
+    Then store changes: its entry stays removed
+
   # Guards against one odd entry of another writer that stops a host from reading the
   # entries beside it, that a host takes for a target, or that breaks a request or a
   # message of the host later (operators' report).
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -248,7 +248,7 @@
         self.loop = loop
         self.shared = shared
         self.address = address
-        self.lease = 0
+        self.key = None
 
     async def answer(self, items):
         """Return a page once its items, in base64, have passed the host's link."""
@@ -286,7 +286,12 @@
     async def renew_lease(self, lease):
         return None
 
+    async def end_lease(self, lease):
+        await asyncio.sleep(0.004)
+        self.shared.remove(self.key)
+
     async def write(self, key, value, lease):
+        self.key = key
         return self.shared.put(key, value)
 
 
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -74,6 +74,8 @@
         self.behind_since = 0.0
         self.must_list = False
         self.lease = None
+        self.is_deregistered = False
+        self.registration_lock = asyncio.Lock()
         gossip.on_newer_revision = self.newer_revision_seen
 
     @property
@@ -285,9 +287,9 @@
     # Registration of this host
 
     async def keep_registered(self):
-        """Register this host in the store and keep its lease alive."""
+        """Register this host and keep its lease alive until it deregisters."""
         renewed_at = float("-inf")
-        while True:
+        while not self.is_deregistered:
             try:
                 if self.lease is None:
                     await self.register()
@@ -310,17 +312,22 @@
 
     async def register(self):
         """Write the registration under a new lease."""
-        key, value = self.formats.encode_host(self.settings)
-        ttl_s = max(LEASE_TTL_S, self.settings.min_lease_s)
-        lease = await self.store.create_lease(ttl_s)
-        await self.store.write(key, value, lease)
-        self.lease = lease
+        async with self.registration_lock:
+            if self.is_deregistered:
+                return
+            key, value = self.formats.encode_host(self.settings)
+            ttl_s = max(LEASE_TTL_S, self.settings.min_lease_s)
+            lease = await self.store.create_lease(ttl_s)
+            await self.store.write(key, value, lease)
+            self.lease = lease
 
     async def deregister(self):
-        """Remove the registration of this host."""
-        if self.lease is None:
-            return
-        try:
-            await self.store.end_lease(self.lease)
-        except StoreError as error:
-            events.REGISTRATION_DELAYED.log(reason=str(error))
+        """Remove the registration of this host for good."""
+        self.is_deregistered = True
+        async with self.registration_lock:
+            if self.lease is None:
+                return
+            try:
+                await self.store.end_lease(self.lease)
+            except StoreError as error:
+                events.REGISTRATION_DELAYED.log(reason=str(error))
