--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -66,7 +66,8 @@
   5: optional i32 confirmed_ms
   6: optional list<Observation> observations
   7: optional list<CrashNotice> crashes
-  // Revision after which the changes start, up to revision; both are set if they fit.
+  // Set if changes and patches hold all that changed after it, up to revision. What a
+  // receiver may conclude from a message stands in decisions/replica.py.
   8: optional i64 changes_after
   9: optional list<ItemChange> changes
   // Hosts from which the sender, a hub, has recently received a datagram.
@@ -89,7 +90,8 @@
 
 struct CopyReply {
   1: required i64 revision
-  // Whether items holds all keys rather than only the changed ones.
+  // Whether items and patches hold all keys, rather than the changes after the
+  // revision that was asked for.
   2: required bool is_complete
   3: required list<ItemChange> items
   4: optional list<ItemPatch> patches
