--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -417,10 +417,11 @@
             writer.write()
 
 
-async def forget_by_times(fleet):
-    """Let the store lose its history now and then."""
+async def forget_by_times(fleet, writer):
+    """Let the store lose its newest history now and then."""
     while True:
-        await asyncio.sleep(fleet.loop.rng.uniform(0.5, 2.0))
+        await asyncio.sleep(fleet.loop.rng.uniform(0.2, 1.0))
+        writer.write()
         fleet.shared.forgotten_up_to = fleet.shared.revision
 
 
@@ -443,13 +444,13 @@
 
 
 @contextlib.asynccontextmanager
-async def trouble_of(fleet, kinds):
+async def trouble_of(fleet, kinds, writer):
     """Bring troubles of some kinds until the context ends."""
     fleet.shared.late_share = 0.3 if "late" in kinds else 0.0
     fleet.loop.datagram_loss = 0.1 if "lossy" in kinds else 0.0
     works = []
     if "forgetful" in kinds:
-        works.append(asyncio.ensure_future(forget_by_times(fleet)))
+        works.append(asyncio.ensure_future(forget_by_times(fleet, writer)))
     if "restarts" in kinds:
         works.append(asyncio.ensure_future(restart_by_turns(fleet)))
     try:
@@ -476,7 +477,7 @@
 
     async def scenario():
         for number in range(rounds):
-            async with trouble_of(fleet, TROUBLES[trouble]):
+            async with trouble_of(fleet, TROUBLES[trouble], writer):
                 await write_for(fleet, writer, WRITING_S)
             await asyncio.sleep(APPLY_S)
             for host_id, host in fleet.hosts.items():
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -271,10 +271,10 @@
 
     async def watch(self, prefix, after, wait_s):
         self.shared.calls += 1
-        if after < self.shared.forgotten_up_to:
-            raise HistoryLost(f"changes after {after}")
         ends_at = self.loop.now + wait_s
         while True:
+            if after < self.shared.forgotten_up_to:
+                raise HistoryLost(f"changes after {after}")
             news = [x for x in self.shared.history if x.revision > after]
             if news or self.loop.now >= ends_at:
                 return await self.answer(news)
