Log where a change of the store came from, and when hosts at one revision differ

On the users' machines nothing tells a change that was left out from a removal that nobody wrote: a host that lacks a change logs nothing, and the line of a removal names neither its source nor its revision, and always version 0.

Lines 630, 631, 641 and 642 now name the source (the store, or the host that sent the change); 631 also the version in force and the revision. A digest costs one hash per change and 11 bytes in a datagram. No host acts on it yet.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -78,6 +78,8 @@
   12: optional string watcher
   // Large values among the changes after changes_after.
   13: optional list<ItemPatch> patches
+  // Of the sender's replica at revision; hosts at one revision have the same.
+  14: optional i64 digest
 }
 
 struct CopyRequest {
--- a/oleanderroute/decisions/replica.py
+++ b/oleanderroute/decisions/replica.py
@@ -15,10 +15,12 @@
 - A revision alone says that its sender knows more. The receiver fetches a copy.
 - A state at or below the receiver's own revision that the receiver does not have is
   obsolete: the key has been written or removed since.
+- Hosts at one revision have the same digest.
 """
 
 from bisect import bisect_right, insort
 from collections import deque
+from hashlib import blake2b
 
 from ..host.model import StoreItem
 
@@ -32,19 +34,38 @@
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 
 
+# The field of the message has 64 bits with a sign.
+DIGEST_BITS = 63
+
+
+def item_digest(key, revision):
+    """Return the part of a replica's digest that stands for one item."""
+    content = blake2b(f"{revision} {key}".encode("utf-8", "replace"), digest_size=8)
+    return int.from_bytes(content.digest(), "big") >> (64 - DIGEST_BITS)
+
+
 class StoreReplica:
     """Items by key; the revision of a key only increases.
 
+    Parameters
+    ----------
+    prefixes : tuple of str
+        Keys that each host reads; others do not count for the digest.
+
     Attributes
     ----------
     revision : int
         All changes up to this revision are known; 0 before the first full copy.
+    digest : int
+        Of the keys under ``prefixes`` and their revisions, whatever their order.
     confirmed_at : float or None
         When the store last confirmed ``revision`` to any host, in monotonic seconds
         of this host.
     """
 
-    def __init__(self):
+    def __init__(self, prefixes=("",)):
+        self.prefixes = prefixes
+        self.digest = 0
         self.items: dict[str, StoreItem] = {}
         self.removed = {}
         self.removal_order = deque()
@@ -71,14 +92,22 @@
             return False
         self.keep_previous(item.key)
         self.remember_order(item)
+        known = self.items.pop(item.key, None)
+        if known is not None:
+            self.update_digest(known)
         if item.value is None:
-            was_known = self.items.pop(item.key, None) is not None
             self.remember_removal(item)
-            return was_known
+            return known is not None
         self.removed.pop(item.key, None)
         self.items[item.key] = item
+        self.update_digest(item)
         return True
 
+    def update_digest(self, item):
+        """Add an item to the digest, or take it out again."""
+        if item.key.startswith(self.prefixes):
+            self.digest ^= item_digest(item.key, item.revision)
+
     def keep_previous(self, key):
         """Keep the value of a key that is about to change, if it is large."""
         item = self.items.get(key)
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -501,19 +501,28 @@
     Level.INFO,
     ("source", "reason"),
 )
+REPLICA_DIFFERS = define(
+    628,
+    "replica_differs",
+    "Another host at the same revision of the store has other items; all are read.",
+    Level.WARNING,
+    ("peer", "revision", "items"),
+    "Report it with the lines 629 and 630 to 642 of both hosts: one of them missed "
+    "changes.",
+)
 CONFIGURATION_IN_FORCE = define(
     630,
     "configuration_in_force",
     "A new version of the configuration is in force.",
     Level.INFO,
-    ("version", "routes", "revision"),
+    ("version", "routes", "revision", "source"),
 )
 CONFIGURATION_REFUSED = define(
     631,
     "configuration_refused",
     "A configuration is unreadable or not newer; the one in force stays.",
     Level.WARNING,
-    ("reason", "version"),
+    ("reason", "version", "in_force", "revision", "source"),
     "Correct the field that the reason names and write the configuration again.",
 )
 TARGET_ADDED = define(
@@ -528,14 +537,14 @@
     "target_leaving",
     "A target announced its stop; it gets no new requests.",
     Level.INFO,
-    ("target", "revision"),
+    ("target", "revision", "source"),
 )
 TARGET_GONE = define(
     642,
     "target_gone",
     "The entry of a target is gone; it gets no new requests.",
     Level.INFO,
-    ("target", "service"),
+    ("target", "service", "source"),
 )
 TARGET_ENTRY_REFUSED = define(
     643,
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -32,6 +32,9 @@
 LAPSED_HOST_TIMEOUT_S = 3.0
 # Log lines about targets for the changes of the store that arrive together.
 MAX_CHANGE_LINES = 20
+# Source of changes in log lines, if they come from no other host.
+STORE = "store"
+NOT_RETURNED = "not registered again after an outage"
 
 
 class ChangeLog:
@@ -73,7 +76,9 @@
         self.formats = formats
         self.clock = clock
         self.pool = pool
-        self.replica = StoreReplica()
+        self.replica = StoreReplica(
+            (formats.CONFIGURATION_KEY, formats.TARGET_PREFIX, formats.HOST_PREFIX)
+        )
         self.configuration = None
         self.routes = PrefixRoutes(())
         self.targets = {}
@@ -116,21 +121,27 @@
 
     # Items of the store
 
-    def apply(self, items):
-        """Apply changes of the store and return those that were new."""
+    def apply(self, items, source=STORE):
+        """Apply changes of the store and return those that were new.
+
+        Parameters
+        ----------
+        source : str
+            Where the changes come from: `STORE`, or the host that sent them.
+        """
         news = []
         for item in items:
             if self.replica.apply(item):
-                self.item_changed(item)
+                self.item_changed(item, source)
                 news.append(item)
         self.change_log.finish()
         return news
 
-    def apply_listing(self, prefix, items, revision):
+    def apply_listing(self, prefix, items, revision, source=STORE):
         """Apply a complete listing of a prefix and return the changes."""
         changes = self.replica.replace(prefix, items, revision)
         for item in changes:
-            self.item_changed(item)
+            self.item_changed(item, source)
         self.change_log.finish()
         return changes
 
@@ -145,48 +156,66 @@
             self.store_recovered_at = at
             events.STORE_NEWS_RESUMED.log(gap_s=round(at - before, 2))
 
-    def item_changed(self, item):
+    def item_changed(self, item, source):
         """Apply one changed item."""
         formats = self.formats
         if item.key == formats.CONFIGURATION_KEY:
-            self.configuration_changed(item)
+            self.configuration_changed(item, source)
         elif item.key.startswith(formats.TARGET_PREFIX):
-            self.target_changed(item)
+            self.target_changed(item, source)
         elif item.key.startswith(formats.HOST_PREFIX):
             self.host_changed(item)
 
-    def configuration_changed(self, item):
+    def configuration_changed(self, item, source):
         """Apply a configuration unless it is not newer or can't be decoded."""
         if item.value is None:
-            events.CONFIGURATION_REFUSED.log(reason="the key was removed", version=0)
+            self.refuse_configuration("the key was removed", 0, item, source)
             return
         try:
             found = self.formats.decode_configuration(item.value)
         except DocumentError as error:
-            events.CONFIGURATION_REFUSED.log(reason=str(error), version=0)
+            self.refuse_configuration(str(error), 0, item, source)
             return
         current = self.configuration
         if current is not None and found.version <= current.version:
-            events.CONFIGURATION_REFUSED.log(
-                reason=f"version {current.version} is in force", version=found.version
-            )
+            reason = f"version {current.version} is in force"
+            self.refuse_configuration(reason, found.version, item, source)
             return
         self.configuration = found
         self.routes = PrefixRoutes(found.routes)
         self.update_limits()
         events.CONFIGURATION_IN_FORCE.log(
-            version=found.version, routes=len(found.routes), revision=item.revision
+            version=found.version,
+            routes=len(found.routes),
+            revision=item.revision,
+            source=source,
         )
         for listener in self.on_configuration:
             listener(found)
 
-    def target_changed(self, item):
+    def refuse_configuration(self, reason, version, item, source):
+        """Log that the configuration in force stays.
+
+        Parameters
+        ----------
+        version : int
+            Version of the refused configuration; 0 if it has none.
+        """
+        events.CONFIGURATION_REFUSED.log(
+            reason=reason,
+            version=version,
+            in_force=0 if self.configuration is None else self.configuration.version,
+            revision=item.revision,
+            source=source,
+        )
+
+    def target_changed(self, item, source):
         """Add, change or remove a target."""
         formats = self.formats
         target_id = item.key.removeprefix(formats.TARGET_PREFIX)
         now = self.clock.now()
         if item.value is None:
-            self.target_entry_removed(target_id, now)
+            self.target_entry_removed(target_id, now, source)
             return
         try:
             entry = formats.decode_target(item.key, item.value)
@@ -207,13 +236,15 @@
             self.services[view.entry.service].pop(target_id, None)
         if entry.is_leaving and not view.entry.is_leaving:
             if self.change_log.may_log():
-                events.TARGET_LEAVING.log(target=target_id, revision=item.revision)
+                events.TARGET_LEAVING.log(
+                    target=target_id, revision=item.revision, source=source
+                )
         view.entry = entry
         view.cold_until = now + entry.cold_s if entry.cold_s else 0.0
         self.services.setdefault(entry.service, {})[target_id] = view
         self.pool.set_connection_limit(target_id, self.connection_limit(entry.service))
 
-    def target_entry_removed(self, target_id, now):
+    def target_entry_removed(self, target_id, now, source):
         """Remove a target, or keep it for a while if the store is recovering."""
         return_by = self.store_recovered_at + TARGET_RETURN_TIMEOUT_S
         view = self.targets.get(target_id)
@@ -222,20 +253,20 @@
         if now < return_by and not self.is_leaving(view.entry):
             self.awaiting_return[target_id] = return_by
             return
-        self.remove_target(target_id)
+        self.remove_target(target_id, source)
 
     def remove_unreturned_targets(self, now):
         """Remove the targets that did not register again in time after an outage."""
         for target_id, return_by in list(self.awaiting_return.items()):
             if now >= return_by:
-                self.remove_target(target_id)
+                self.remove_target(target_id, NOT_RETURNED)
         self.change_log.finish()
 
-    def remove_target(self, target_id):
+    def remove_target(self, target_id, source):
         """Log the removal of a known target and remove its state."""
         service = self.targets[target_id].entry.service
         if self.change_log.may_log():
-            events.TARGET_GONE.log(target=target_id, service=service)
+            events.TARGET_GONE.log(target=target_id, service=service, source=source)
         self.forget_target(target_id)
 
     def forget_target(self, target_id):
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -268,6 +268,7 @@
     async def fetch_from(self, address, port):
         """Fetch the changes from another host; return whether it answered."""
         replica = self.view.replica
+        source = f"{address}:{port}"
         try:
             revision, is_complete, items = await fetch_copy(
                 address, port, self.settings.host_id, replica, self.clock
@@ -278,9 +279,9 @@
         if revision <= replica.revision:
             return True
         if is_complete:
-            self.view.apply_listing(ALL_KEYS, items, revision)
+            self.view.apply_listing(ALL_KEYS, items, revision, source)
         else:
-            self.view.apply(items)
+            self.view.apply(items, source)
         replica.advance(revision)
         return True
 
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -8,6 +8,7 @@
 import secrets
 
 from .. import events
+from ..decisions.agreement import ReplicaAgreement
 from ..decisions.health import Finding
 from ..decisions.link_budget import LinkBudget
 from ..errors import MessageRejected, PatchBaseMissing
@@ -71,6 +72,7 @@
         self.hub_outbox = Outbox(self.service_of)
         self.budget = LinkBudget(view.settings.link_mbps, clock.now())
         self.patch_maker = PatchMaker(view.replica)
+        self.agreement = ReplicaAgreement()
         self.incarnation = secrets.randbelow(MAX_INCARNATION)
         self.timers = {}
         self.turn = 0
@@ -350,6 +352,9 @@
         )
         if self.membership.is_hub:
             message.watcher = self.membership.watcher
+        if self.agreement.differs_since is not None:
+            # The other host may be the one that lacks changes.
+            message.digest = replica.digest
         if replica.confirmed_at is not None:
             age_ms = int((now - replica.confirmed_at) * 1000)
             message.confirmed_ms = min(MAX_AGE_MS, max(0, age_ms))
@@ -359,12 +364,13 @@
         return message
 
     def add_live_list(self, message):
-        """Add the list of live hosts to a hub's message if the list is due."""
+        """Add the list of live hosts and the digest to a hub's message if due."""
         now = self.clock.now()
         if not self.is_live_list_due(now):
             return
         self.live_list_sent_at = now
         message.heard = self.membership.live_host_ids()
+        message.digest = self.view.replica.digest
 
     def send(self, message, hosts):
         """Send a datagram to each of ``hosts``."""
@@ -400,6 +406,7 @@
         if message.to_hub:
             self.queue_for_forwarding(message)
         self.apply_changes(message)
+        self.compare_replicas(message, now)
         if message.confirmed_ms is None:
             return
         if self.view.replica.revision >= message.revision:
@@ -497,11 +504,24 @@
                 self.on_newer_revision(message.host_id, message.revision)
             return
         before = replica.revision
-        self.view.apply(items)
+        self.view.apply(items, message.host_id)
         replica.advance(message.revision)
         if self.membership.is_hub:
             self.announce_changes(before)
 
+    def compare_replicas(self, message, now):
+        """Compare the store's items with those of a host at the same revision."""
+        replica = self.view.replica
+        if message.digest is None or message.revision != replica.revision:
+            return
+        is_same = message.digest == replica.digest
+        if self.agreement.compare(is_same, self.membership.is_hub, now):
+            events.REPLICA_DIFFERS.log(
+                peer=message.host_id,
+                revision=replica.revision,
+                items=len(replica.items),
+            )
+
     def decode_changes(self, message):
         """Return the items of a message, or None if they do not suffice."""
         after = message.changes_after
--- a/oleanderroute/host/gossip_checks.py
+++ b/oleanderroute/host/gossip_checks.py
@@ -23,6 +23,7 @@
     check_range("revision", message.revision)
     check_range("confirmed_ms", message.confirmed_ms, MAX_AGE_MS)
     check_range("changes_after", message.changes_after, message.revision)
+    check_range("digest", message.digest)
     for change in (*(message.changes or ()), *(message.patches or ())):
         check_required(change)
         # It may be above the message's: a listing is read in pages.
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -54,6 +54,12 @@
             "Sends of other hosts since the start whose own finding did not arrive.",
             registry=registry,
         )
+        self.replica_differences = Gauge(
+            "oleander_host_replica_differences",
+            "Times since the start that another host at the same revision of the "
+            "store had other items.",
+            registry=registry,
+        )
         self.counted_sends = Gauge(
             "oleander_host_counted_sends",
             "Sends in the window of the repeat limit, by service, kind and sender.",
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -48,6 +48,7 @@
         self.received = (received.datagrams, received.size)
         self.metrics.gossip_bytes.set({"direction": "sent"}, sent.size)
         self.metrics.gossip_bytes.set({"direction": "received"}, received.size)
+        self.metrics.replica_differences.set({}, self.gossip.agreement.found)
 
     def summarize_beliefs(self):
         """Log how many targets are thought to be gray, and the changes of that."""
--- a/oleanderroute/peer/gen/oleander_gossip/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_gossip/ttypes.py
@@ -566,6 +566,7 @@
      - store_lost
      - watcher
      - patches
+     - digest
 
     """
 
@@ -583,10 +584,11 @@
         'store_lost',
         'watcher',
         'patches',
+        'digest',
     )
 
 
-    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None,):
+    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None, digest=None,):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.to_hub = to_hub
@@ -600,6 +602,7 @@
         self.store_lost = store_lost
         self.watcher = watcher
         self.patches = patches
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -704,6 +707,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -781,6 +789,10 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 14)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1113,6 +1125,7 @@
     (11, TType.BOOL, 'store_lost', None, None, ),  # 11
     (12, TType.STRING, 'watcher', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'patches', (TType.STRUCT, [ItemPatch, None], False), None, ),  # 13
+    (14, TType.I64, 'digest', None, None, ),  # 14
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
