--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -256,7 +256,7 @@
 def step_reload(context):
     clock = SimpleNamespace(now=lambda: 100.0)
     limits = {"retry_ratio": 0.2, "retry_allowance": 50.0, "retry_window_s": 10.0}
-    view = FleetView(SimpleNamespace(**limits), None, clock, None)
+    view = FleetView(SimpleNamespace(**limits), documents, clock, None)
     for is_repeat in (False, False, True):
         view.count_own_send("s", is_repeat)
     view.update_settings(SimpleNamespace(**limits | {"retry_ratio": 0.1}))
