Let a watched change whose value can't be read change its key

Cause: an item of a watched page that could not be decoded was skipped while the revision advanced past it; a listing took the same key for removed.

Fix: an item whose value can't be read counts as a change of its key to a value that names nothing, in watches and listings alike. If the key or the revision can't be read either, the watch says that changes are lost, and the host lists the store.

--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -21,11 +21,12 @@
     write_for,
 )
 from features.support.thin_links import Link, VirtualFleet, target_entry
+from oleanderroute.clock import SystemClock
 from oleanderroute.errors import HistoryLost
 from oleanderroute.host.model import ItemPage, StoreItem
 from oleanderroute.host.outbox import Outbox
 from oleanderroute.platform import documents
-from oleanderroute.platform.kv import decode_items
+from oleanderroute.platform.kv import KvClient, decode_items
 
 # Bound on a change until it is in force, of the users' pages.
 APPLY_S = 2.0
@@ -240,6 +241,37 @@
     group.run(group.hub.follower.watch_once())
 
 
+UNREADABLE_ITEMS = {
+    "an item that is no object": "servers/i-1",
+    "an item without a key": {"revision": 7, "value": ""},
+    "an item without a revision": {"key": "servers/i-1", "value": ""},
+    "an item with a broken revision": {"key": "servers/i-1", "revision": "7"},
+}
+
+
+@when("store changes: a watched page holds {oddity}")
+def step_unreadable(context, oddity):
+    events = [UNREADABLE_ITEMS[oddity], {"key": "k", "revision": 8, "value": ""}]
+
+    async def answer(*arguments, **options):
+        return 200, {"events": events, "atRev": 8}
+
+    async def watch():
+        client = KvClient("127.0.0.1:1", lambda name: None, SystemClock())
+        client.call = answer
+        try:
+            return await client.watch("", 6, 1.0)
+        except HistoryLost as error:
+            return error
+
+    context.outcome = asyncio.run(watch())
+
+
+@then("store changes: the watch says that changes are lost")
+def step_watch_lost(context):
+    assert isinstance(context.outcome, HistoryLost), context.outcome
+
+
 @then("store changes: no host uses the target of that item")
 def step_undecodable_unused(context):
     for host in (context.group.hub, context.group.member):
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -110,6 +110,19 @@
     When store changes: a watched page holds an item whose value is no base64
     Then store changes: no host uses the target of that item
 
+  # Guards against a change that is passed over because its key can't be read, while the
+  # revision advances.
+  Scenario Outline: Store changes: A watched page with <oddity> is read again as a listing
+    When store changes: a watched page holds <oddity>
+    Then store changes: the watch says that changes are lost
+
+    Examples:
+      | oddity                        |
+      | an item that is no object     |
+      | an item without a key         |
+      | an item without a revision    |
+      | an item with a broken revision |
+
   # Guards against hosts that serve an older state until the next change of its key, because
   # what they missed was left out or wrong for a reason that no other check here knows (a
   # host of an earlier version, a fault of ours; CONFIG and DRAIN on the users' machines).
--- a/oleanderroute/platform/kv.py
+++ b/oleanderroute/platform/kv.py
@@ -34,6 +34,7 @@
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 # 9,000 targets and hosts need 18 pages of 500; far more indicate a store fault.
 MAX_PAGES = 200
+UNREADABLE_VALUE = b""
 
 
 class KvClient:
@@ -90,7 +91,8 @@
         Raises
         ------
         HistoryLost
-            If the store no longer keeps these changes.
+            If the store no longer keeps these changes, or if one of them has no
+            readable key, so that what it changed is not known.
         StoreError
         """
         query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
@@ -101,6 +103,8 @@
             raise HistoryLost(f"changes after revision {after}")
         expect(status, 200)
         items = decode_items(document, "events")
+        if len(items) < len(document["events"]):
+            raise HistoryLost(f"an unreadable change after revision {after}")
         return ItemPage(items, int_field(document, "atRev"))
 
     async def create_lease(self, ttl_s):
@@ -229,7 +233,7 @@
 
 
 def decode_items(document, name):
-    """Return the items of a list in an answer; log and skip unreadable ones."""
+    """Return the items of a list in an answer; log and skip those without a key."""
     found = []
     listed = document.get(name)
     if not isinstance(listed, list):
@@ -243,7 +247,11 @@
 
 
 def decode_item(entry):
-    """Decode an item or a tombstone."""
+    """Decode an item or a tombstone.
+
+    An item whose value can't be read has an `UNREADABLE_VALUE`: its key has changed,
+    and names no target, host or configuration.
+    """
     if not isinstance(entry, dict) or not isinstance(entry.get("key"), str):
         raise StoreUnavailable("an item has no key")
     revision = int_field(entry, "revision")
@@ -252,5 +260,6 @@
     try:
         value = base64.b64decode(entry.get("value", ""), validate=True)
     except (binascii.Error, TypeError, ValueError) as error:
-        raise StoreUnavailable(f"value of {entry['key']!r}: {error}") from error
+        events.STORE_ITEM_UNREADABLE.log(key=entry["key"][:200], reason=str(error))
+        value = UNREADABLE_VALUE
     return StoreItem(entry["key"], revision, value)
