--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -14,7 +14,7 @@
 import orjson
 
 from oleanderroute.entry.messages import TargetAnswer
-from oleanderroute.errors import HistoryLost
+from oleanderroute.errors import HistoryLost, StoreUnavailable
 from oleanderroute.host.copies import CopyServer
 from oleanderroute.host.fleetview import FleetView
 from oleanderroute.host.follower import StoreFollower
@@ -34,6 +34,8 @@
 SERVICE_S = 0.1
 # Delay of an answer of the store whose packets were lost.
 LATE_ANSWER_S = (0.2, 0.9)
+# As in the daemon of a host.
+HOUSEKEEPING_INTERVAL_S = 0.2
 CONTROL_PORT = 8166
 GOSSIP_PORT = 7720
 BYTES_PER_MBIT = 125_000
@@ -264,8 +266,15 @@
             await asyncio.sleep(passed_at - self.loop.now)
         return ItemPage(list(items), revision)
 
+    def check_refusal(self):
+        """Fail the call of a host that the store turns away."""
+        if self.shared.refused_until.get(self.address, 0.0) > self.loop.now:
+            raise StoreUnavailable("the store refuses this host")
+
     async def read_prefix(self, prefix):
         self.shared.calls += 1
+        await asyncio.sleep(LATENCY_S)
+        self.check_refusal()
         items = self.shared.items.values()
         return await self.answer([x for x in items if x.key.startswith(prefix)])
 
@@ -273,6 +282,7 @@
         self.shared.calls += 1
         ends_at = self.loop.now + wait_s
         while True:
+            self.check_refusal()
             if after < self.shared.forgotten_up_to:
                 raise HistoryLost(f"changes after {after}")
             news = [x for x in self.shared.history if x.revision > after]
@@ -304,6 +314,8 @@
         Share of the answers that are late on their way to the host.
     forgotten_up_to : int
         The history at or below this revision is no longer available.
+    refused_until : dict of str to float
+        Until when the store refuses the calls of a host, by the host's address.
     """
 
     def __init__(self):
@@ -313,6 +325,7 @@
         self.calls = 0
         self.late_share = 0.0
         self.forgotten_up_to = 0
+        self.refused_until = {}
 
     def put(self, key, value):
         self.revision += 1
@@ -456,9 +469,18 @@
         await host.gossip.start()
         await host.copies.start()
         await asyncio.gather(
-            host.gossip.run(), host.follower.run(), host.follower.keep_registered()
+            host.gossip.run(),
+            host.follower.run(),
+            host.follower.keep_registered(),
+            self.keep_house(host),
         )
 
+    async def keep_house(self, host):
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            host.view.remove_unreturned_targets(self.loop.now)
+            host.view.remove_expired_hosts(self.loop.now)
+
     def lateness(self, version, sent_at):
         """Return the seconds until each host had a version in force, sorted."""
         found = []
