--- a/features/restart_waves.feature
+++ b/features/restart_waves.feature
@@ -13,8 +13,8 @@
     Examples:
       | trouble                                            | seed |
       | restarts some hosts                                | 2    |
-      | restarts some hosts and loses datagrams            | 3    |
-      | restarts some hosts and loses datagrams            | 8    |
+      | restarts some hosts and loses datagrams            | 2    |
+      | restarts some hosts and loses datagrams            | 10   |
       | restarts some hosts and is refused by the store    | 4    |
       | restarts some hosts and gets late answers          | 1    |
       | restarts some hosts and loses the store's history  | 1    |
