--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -402,6 +402,26 @@
     fleet.run(scenario())
 
 
+@when(
+    "store changes: a member misses a configuration while the store refuses it for "
+    "{refused_s:d} s"
+)
+def step_miss_refused(context, refused_s):
+    fleet = context.fleet
+    context.differences = []
+
+    async def scenario():
+        await asyncio.sleep(3.0)
+        members = choose_hosts(fleet, "a member")
+        until = fleet.loop.now + refused_s
+        fleet.shared.refused_until[members[0].settings.address] = until
+        miss_change(fleet, members, "a configuration")
+        await asyncio.sleep(refused_s + APPLY_S)
+        context.differences += fleet_differences(fleet, 2)
+
+    fleet.run(scenario())
+
+
 @when(
     "store changes: a key of revision 3 was removed at {removal:d}, then listed by "
     "{reader} at {listing:d}, known up to {known:d}"
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -149,6 +149,13 @@
       | all hosts of a domain | a new host                         |
       | all hosts of a domain | that the configuration still lives |
 
+  # Guards against a host that knows that it differs, but waits for the next comparison
+  # after the store has refused it.
+  Scenario: Store changes: A host that differs reads the store once it is served again
+    Given store changes: 3 failure domains of 5 hosts, 40 targets and a large configuration
+    When store changes: a member misses a configuration while the store refuses it for 2 s
+    Then store changes: 2 s after each time all hosts have what the store holds
+
   # Guards against a removal that nobody wrote and that outlives each listing of the store,
   # as the key's last change is older.
   Scenario Outline: Store changes: A removal at <removal> and a listing at <listing> that holds the key, known up to <known>
--- a/oleanderroute/decisions/agreement.py
+++ b/oleanderroute/decisions/agreement.py
@@ -4,9 +4,11 @@
 nothing is missing. It shows only when hosts at one revision compare their digests.
 """
 
-# A hub may differ from others for as long as it is one of them that is wrong.
+# Time without an agreement until a hub reads the items. Hubs hear of several others, of
+# which one may be wrong.
 HUB_DIFFERENCE_TIMEOUT_S = 0.3
-# Longer, since the members of a hub that was wrong compare with it once it is right.
+# The same for other hosts; longer, so that a wrong hub is right again before its members
+# read the items as well.
 DIFFERENCE_TIMEOUT_S = 0.6
 # Pause after a listing, in case that it is the other host that has to read the items.
 LISTING_PAUSE_S = 5.0
--- a/oleanderroute/decisions/replica.py
+++ b/oleanderroute/decisions/replica.py
@@ -34,8 +34,6 @@
 # difference.
 MIN_KEPT_BYTES = 2048
 MAX_KEPT_BYTES = 8 * 1024 * 1024
-
-
 # The field of the message has 64 bits with a sign.
 DIGEST_BITS = 63
 
@@ -199,10 +197,12 @@
         enter = self.enter if revision >= self.revision else self.apply
         for item in items:
             listed.add(item.key)
-            is_disproved = is_from_store and self.is_disproved(item, revision)
-            if is_disproved:
+            if is_from_store and self.is_disproved(item, revision):
                 del self.removed[item.key]
-            if (self.enter if is_disproved else enter)(item):
+                is_new = self.enter(item)
+            else:
+                is_new = enter(item)
+            if is_new:
                 changes.append(item)
         for key in list(self.items):
             if not key.startswith(prefix) or key in listed:
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -73,7 +73,7 @@
 
 
 class HistoryLost(StoreError):
-    """The store discarded the changes that a watch asked for."""
+    """The changes that a watch asked for were discarded, or one is unreadable."""
 
 
 class LeaseUnknown(StoreError):
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -179,7 +179,7 @@
             return
         current = self.configuration
         if found == current:
-            # Only its key was taken for removed.
+            # The key had been taken for removed, or was written again.
             return
         if current is not None and found.version <= current.version:
             reason = f"version {current.version} is in force"
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -70,6 +70,8 @@
         self.store_failing = False
         self.is_watching = False
         self.fetches = set()
+        # The task that reads all items after a difference; fetches go on meanwhile.
+        self.corrections = set()
         # The newest revision that another host has announced, and since when this
         # host has been behind.
         self.announced_revision = 0
@@ -87,9 +89,9 @@
         return self.view.settings
 
     def close(self):
-        """Stop fetching changes from other hosts."""
-        for fetch in self.fetches:
-            fetch.cancel()
+        """Stop reading changes from other hosts and after a difference."""
+        for task in (*self.fetches, *self.corrections):
+            task.cancel()
 
     # Start
 
@@ -264,17 +266,16 @@
 
     def difference_seen(self):
         """Read all items, since another host has others at the same revision."""
-        if not self.is_loaded.is_set():
+        if self.corrections or not self.is_loaded.is_set():
             return
         task = asyncio.ensure_future(self.correct_replica())
-        self.fetches.add(task)
-        task.add_done_callback(self.fetches.discard)
+        self.corrections.add(task)
+        task.add_done_callback(self.corrections.discard)
 
     async def correct_replica(self):
-        """Read all items and log what had been missed."""
-        changes = await self.load_from_store()
-        if changes is None:
-            return
+        """Read all items, once the store serves them, and log what was missed."""
+        while (changes := await self.load_from_store()) is None:
+            await self.sleep_before_retry()
         events.REPLICA_CORRECTED.log(
             revision=self.view.replica.revision,
             changes=len(changes),
