--- a/oleanderroute/decisions/agreement.py
+++ b/oleanderroute/decisions/agreement.py
@@ -7,8 +7,8 @@
 # Time without an agreement until a hub reads the items. Hubs hear of several others, of
 # which one may be wrong.
 HUB_DIFFERENCE_TIMEOUT_S = 0.3
-# The same for other hosts; longer, so that a wrong hub is right again before its members
-# read the items as well.
+# The same for other hosts; longer, so that a wrong hub is right again before its
+# members read the items as well.
 DIFFERENCE_TIMEOUT_S = 0.6
 # Pause after a listing, in case that it is the other host that has to read the items.
 LISTING_PAUSE_S = 5.0
