Tests of changes of the store: no row may pass because a host corrected itself

Hosts that differ now read the store within the time that these rows wait, so each row also checks that no host found a difference. Twelve new rows: a change that comes by another way while a partial or a whole copy is under way.

--- a/features/steps/restart_waves_steps.py
+++ b/features/steps/restart_waves_steps.py
@@ -48,8 +48,4 @@
 
 @then("restart waves: no host differed from another at the same revision")
 def step_no_difference(context):
-    found = {}
-    for host_id, host in context.fleet.hosts.items():
-        if host.gossip.agreement.found:
-            found[host_id] = host.gossip.agreement.found
-    assert not found, found
+    assert context.fleet.differences_found() == 0
--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -20,7 +20,13 @@
     trouble_of,
     write_for,
 )
-from features.support.thin_links import Link, VirtualFleet, target_entry
+from features.support.thin_links import (
+    CURRENT_HOST,
+    LATENCY_S,
+    Link,
+    VirtualFleet,
+    target_entry,
+)
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.replica import StoreReplica, digest_of
 from oleanderroute.errors import HistoryLost
@@ -32,6 +38,8 @@
 # Bound on a change until it is in force, of the users' pages.
 APPLY_S = 2.0
 WRITING_S = 1.5
+# A copy takes two round trips between two hosts.
+UNDER_WAY_S = 2 * LATENCY_S
 LEAVING_ENTRY = target_entry(1, state="draining")
 CHANGES = {
     "a configuration": ("op/config", configuration_of(2, False)),
@@ -93,6 +101,31 @@
     group.run(sender.follower.watch_once())
 
 
+@when(
+    "store changes: one host learns of {change} while {copy} of the other one is under "
+    "way"
+)
+def step_copy_under_way(context, change, copy):
+    group = context.group
+    sender, receiver = group.hub, group.member
+    early = group.write(*CHANGES[change])
+    late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
+    learn(sender, [early, late])
+    if copy == "a whole copy":
+        sender.view.replica.removals_known_after = late.revision
+
+    async def fetch():
+        CURRENT_HOST.set(receiver.settings.address)
+        address, port = sender.settings.address, sender.settings.control_port
+        fetching = asyncio.ensure_future(receiver.follower.fetch_from(address, port))
+        await asyncio.sleep(UNDER_WAY_S)
+        assert not fetching.done()
+        learn(receiver, [early])
+        await fetching
+
+    group.run(fetch())
+
+
 def list_store(group):
     """Let the hub list the store after another change."""
     late = group.write("servers/i-00000002", target_entry(2, cold_ms=500))
@@ -454,8 +487,8 @@
 
 @then("store changes: no host has found a difference")
 def step_no_difference(context):
-    for host in (context.group.hub, context.group.member):
-        assert host.gossip.agreement.found == 0, host.settings.host_id
+    fleet = context.fleet if "fleet" in context else context.group.fleet
+    assert fleet.differences_found() == 0
 
 
 def fleet_differences(fleet, version):
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -7,6 +7,7 @@
     Given store changes: two hosts with 3 targets and a configuration
     When store changes: one host learns of <change> from elsewhere while it prepares <message>
     Then store changes: the other host has all that the first one has
+    And store changes: no host has found a difference
 
     Examples:
       | message          | change                |
@@ -29,12 +30,36 @@
       | a relayed change | a removed host        |
       | a relayed change | a new host            |
 
+  # Guards against a copy that leaves out, or brings back, what its receiver has learned
+  # from another host since it asked for it.
+  Scenario Outline: Store changes: <change> that comes while <copy> is under way is kept
+    Given store changes: two hosts with 3 targets and a configuration
+    When store changes: one host learns of <change> while <copy> of the other one is under way
+    Then store changes: the other host has all that the first one has
+    And store changes: no host has found a difference
+
+    Examples:
+      | copy           | change                |
+      | a partial copy | a configuration       |
+      | a partial copy | a large configuration |
+      | a partial copy | a target that leaves  |
+      | a partial copy | a removed target      |
+      | a partial copy | a removed host        |
+      | a partial copy | a new host            |
+      | a whole copy   | a configuration       |
+      | a whole copy   | a large configuration |
+      | a whole copy   | a target that leaves  |
+      | a whole copy   | a removed target      |
+      | a whole copy   | a removed host        |
+      | a whole copy   | a new host            |
+
   # Guards against a key that lives on because the host that announces a listing never saw
   # it, and so can't tell that it was removed.
   Scenario Outline: Store changes: A listing removes <key> that only others have seen
     Given store changes: two hosts with 3 targets and a configuration
     When store changes: one host lists the store after another has seen <key> come, and it went
     Then store changes: the other host has all that the first one has
+    And store changes: no host has found a difference
 
     Examples:
       | key       |
@@ -48,6 +73,7 @@
     Given store changes: two hosts with 3 targets and a configuration
     When store changes: one host lists the store while both know <key>
     Then store changes: the other host has all that the first one has
+    And store changes: no host has found a difference
 
     Examples:
       | key                   |
@@ -62,6 +88,7 @@
     Given store changes: two hosts with 3 targets and a configuration
     When store changes: a <answer> tells of <key> after a whole copy without it has come
     Then store changes: the other host has all that the first one has
+    And store changes: no host has found a difference
 
     Examples:
       | answer       | key      |
@@ -183,6 +210,7 @@
     Given store changes: 3 failure domains of 5 hosts, 40 targets and a large configuration
     When store changes: the fleet <trouble> while the store is written to, 8 times, seed <seed>
     Then store changes: 2 s after each time all hosts have what the store holds
+    And store changes: no host has found a difference
 
     Examples:
       | trouble                     | seed |
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -384,6 +384,8 @@
         for number in range(targets):
             self.shared.put(f"servers/i-{number:08x}", target_entry(number))
         self.hosts = {}
+        # Of all processes of all hosts.
+        self.agreements = []
         # Request and time of each arrival at a target.
         self.arrivals = []
         self.refused_share = 0.0
@@ -424,6 +426,7 @@
             lambda found: times.setdefault(found.version, loop.now)
         )
         self.hosts[settings.host_id] = host
+        self.agreements.append(gossip.agreement)
 
     def run(self, scenario):
         """Run the hosts and a coroutine until it ends; return its result."""
@@ -481,6 +484,10 @@
             host.view.remove_unreturned_targets(self.loop.now)
             host.view.remove_expired_hosts(self.loop.now)
 
+    def differences_found(self):
+        """Return how often hosts found that one at the same revision differs."""
+        return sum(agreement.found for agreement in self.agreements)
+
     def lateness(self, version, sent_at):
         """Return the seconds until each host had a version in force, sorted."""
         found = []
