--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -219,6 +219,7 @@
       | loses datagrams             | 3    |
       | loses the store's history   | 4    |
       | restarts its hosts by turns | 8    |
+      | restarts its hosts by turns | 17   |
       | restarts its hosts by turns | 18   |
       | meets all troubles          | 6    |
       | meets all troubles          | 12   |
