--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -35,6 +35,10 @@
   10: optional i32 count
   // Of a target that is leaving: the start of its process, in Unix milliseconds.
   11: optional i64 target_started_ms
+  // At the first send of a request: the workspace of its API key, and how many requests
+  // of that workspace the process has sent.
+  12: optional string workspace
+  13: optional i32 workspace_count
 }
 
 // A key of the platform's store; a removed key has no value.
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -5,7 +5,7 @@
 
 from ..entry.messages import BodyPrefix, CallerRequest
 from ..ids import ServiceName, TargetId
-from .model import HostRoute
+from .model import HostRoute, WorkspacePolicy
 
 
 class SendResult(Enum):
@@ -81,6 +81,8 @@
     wait_s : float
         Minimum expected wait at the healthy targets when the request arrived, in
         seconds.
+    workspace : WorkspacePolicy or None
+        Workspace of the request's API key.
     """
 
     request: CallerRequest
@@ -98,6 +100,14 @@
     may_have_run: bool = False
     body_consumed: bool = False
     wait_s: float = 0.0
+    workspace: WorkspacePolicy | None = None
+
+    @property
+    def priority(self):
+        """Priority of the workspace, else of the route; 0 is the most urgent."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
 
     def may_send_again(self):
         """Tell whether the route and the body allow another send."""
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -3,7 +3,18 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..ids import FailureDomain, HostId, Region, RouteId, ServiceName, TargetId
+from ..ids import (
+    FailureDomain,
+    HostId,
+    Region,
+    RouteId,
+    ServiceName,
+    TargetId,
+    Workspace,
+)
+
+# Priority of a route that declares none; 0 is the most urgent.
+DEFAULT_PRIORITY = 1
 
 
 class Repeatability(Enum):
@@ -37,6 +48,10 @@
         Latency objective of the route.
     max_targets : int
         Maximum number of targets to which one request may be sent.
+    priority : int
+        0 is the most urgent.
+    is_key_exempt : bool
+        Whether requests need no API key although the configuration has workspaces.
     """
 
     route_id: RouteId
@@ -47,6 +62,8 @@
     objective_s: float
     destinations: tuple[Destination, ...]
     max_targets: int
+    priority: int = DEFAULT_PRIORITY
+    is_key_exempt: bool = False
 
     @property
     def is_idempotent(self):
@@ -62,6 +79,26 @@
     connection_limit: int
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspacePolicy:
+    """Settings of a workspace in the configuration.
+
+    Attributes
+    ----------
+    rate_per_s : float
+        Requests per second of all hosts together; 0 means no limit.
+    burst : float
+        Requests that may exceed the rate at once.
+    priority : int or None
+        Overrides the priority of the route; 0 is the most urgent.
+    """
+
+    name: Workspace
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallerBounds:
     """Size and time limits for the requests of callers."""
@@ -74,12 +111,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    workspaces : dict
+        Without any, requests need no API key.
+    workspace_by_key : dict
+        Names of workspaces by API key.
+    """
 
     version: int
     routes: tuple[HostRoute, ...]
     services: dict[ServiceName, ServicePolicy]
     bounds: CallerBounds
+    workspaces: dict[Workspace, WorkspacePolicy] = field(default_factory=dict)
+    # Left out of texts, as keys must not get into logs.
+    workspace_by_key: dict[bytes, Workspace] = field(default_factory=dict, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +201,12 @@
         Share of a service's targets that stays in use while its requests fail.
     link_mbps : float
         Bandwidth of the link of this host in Mbit/s; 0 if it is not known.
+    memory_limit_bytes : int
+        Memory that the process may use; 0 if it is not known.
+    descriptor_limit : int
+        File descriptors that the process may open; 0 if it is not known.
+    rate_limit_window_s : float
+        Length of the windows in which the rate limits of workspaces must hold.
     """
 
     host_id: HostId
@@ -172,6 +226,9 @@
     stop_grace_s: float
     link_mbps: float = 0.0
     floor_share: float = 0.7
+    memory_limit_bytes: int = 0
+    descriptor_limit: int = 0
+    rate_limit_window_s: float = 5.0
 
 
 @dataclass(slots=True)
--- a/oleanderroute/host/refusal.py
+++ b/oleanderroute/host/refusal.py
@@ -16,10 +16,16 @@
     NOT_CONFIGURED = "not-configured"
     NO_ROUTE = "no-route"
     ROUTE_UNCERTAIN = "route-uncertain"
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_UNCERTAIN = "key-uncertain"
+    RATE_LIMITED = "rate-limited"
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
     NO_TARGET = "no-target"
     NO_ROOM = "no-room"
+    SHED = "shed"
+    MEMORY_PRESSURE = "memory-pressure"
     TARGETS_PAUSED = "targets-asked-to-wait"
     TARGETS_REFUSED = "targets-refused"
     TARGETS_UNREACHABLE = "targets-unreachable"
@@ -31,16 +37,22 @@
     INTERNAL = "internal-error"
 
 
-# 503 guarantees that the request did not run and will not run; 502 and 504 guarantee
-# nothing.
+# 429 and 503 guarantee that the request did not run and will not run; 502 and 504
+# guarantee nothing.
 REFUSAL_STATUSES = {
     HostReason.NOT_CONFIGURED: 503,
     HostReason.NO_ROUTE: 404,
     HostReason.ROUTE_UNCERTAIN: 503,
+    HostReason.KEY_MISSING: 401,
+    HostReason.KEY_UNKNOWN: 401,
+    HostReason.KEY_UNCERTAIN: 503,
+    HostReason.RATE_LIMITED: 429,
     HostReason.BODY_TOO_LARGE: 413,
     HostReason.BODY_INCOMPLETE: 400,
     HostReason.NO_TARGET: 503,
     HostReason.NO_ROOM: 503,
+    HostReason.SHED: 503,
+    HostReason.MEMORY_PRESSURE: 503,
     HostReason.TARGETS_PAUSED: 503,
     HostReason.TARGETS_REFUSED: 503,
     HostReason.TARGETS_UNREACHABLE: 503,
@@ -52,6 +64,8 @@
     HostReason.INTERNAL: 500,
 }
 REASON_HEADER = b"oleander-reason"
+NOT_RUN_STATUSES = frozenset({429, 503})
+CHALLENGE = (b"www-authenticate", b"Bearer")
 
 
 def refusal_answer(reason, may_have_run=False, retry_after_s=RETRY_AFTER_S):
@@ -61,16 +75,19 @@
     ----------
     reason : HostReason
     may_have_run : bool
-        Changes 503, which guarantees that the request did not run, into 502.
+        Changes 401, 429 and 503, after which the request is taken as not run, into 502.
     retry_after_s : float
         Seconds after which the caller may retry a request that did not run.
     """
     status = REFUSAL_STATUSES[reason]
-    if status == 503 and may_have_run:
+    if may_have_run and (status in NOT_RUN_STATUSES or status == 401):
         status = 502
     headers = [(REASON_HEADER, reason.value.encode("ascii"))]
     outcome = CallerOutcome.UNKNOWN
-    if status == 503:
+    if status == 401:
+        headers.append(CHALLENGE)
+        outcome = CallerOutcome.NOT_RUN
+    elif status in NOT_RUN_STATUSES:
         headers.append((b"retry-after", b"%.1f" % max(0.1, retry_after_s)))
         outcome = CallerOutcome.NOT_RUN
     return CallerAnswer(status, headers, b"", outcome, reason.value)
--- a/oleanderroute/peer/gen/oleander_gossip/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_gossip/ttypes.py
@@ -160,6 +160,8 @@
      - incarnation
      - count
      - target_started_ms
+     - workspace
+     - workspace_count
 
     """
 
@@ -175,10 +177,12 @@
         'incarnation',
         'count',
         'target_started_ms',
+        'workspace',
+        'workspace_count',
     )
 
 
-    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None, incarnation=None, count=None, target_started_ms=None,):
+    def __init__(self, target_id=None, kind=None, age_ms=None, latency_ms=None, in_system=None, slots=None, send_number=None, host_id=None, incarnation=None, count=None, target_started_ms=None, workspace=None, workspace_count=None,):
         self.target_id = target_id
         self.kind = kind
         self.age_ms = age_ms
@@ -190,6 +194,8 @@
         self.incarnation = incarnation
         self.count = count
         self.target_started_ms = target_started_ms
+        self.workspace = workspace
+        self.workspace_count = workspace_count
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -255,6 +261,16 @@
                     self.target_started_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.workspace_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -309,6 +325,14 @@
             oprot.writeFieldBegin('target_started_ms', TType.I64, 11)
             oprot.writeI64(self.target_started_ms)
             oprot.writeFieldEnd()
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 12)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.workspace_count is not None:
+            oprot.writeFieldBegin('workspace_count', TType.I32, 13)
+            oprot.writeI32(self.workspace_count)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1093,6 +1117,8 @@
     (9, TType.I16, 'incarnation', None, None, ),  # 9
     (10, TType.I32, 'count', None, None, ),  # 10
     (11, TType.I64, 'target_started_ms', None, None, ),  # 11
+    (12, TType.STRING, 'workspace', 'UTF8', None, ),  # 12
+    (13, TType.I32, 'workspace_count', None, None, ),  # 13
 )
 all_structs.append(ItemChange)
 ItemChange.thrift_spec = (
--- a/oleanderroute/platform/node_file.py
+++ b/oleanderroute/platform/node_file.py
@@ -10,6 +10,9 @@
 NODE_FILE_VARIABLE = "OLEANDERROUTE_NODE_FILE"
 MIN_LEASE_FIELD = "platform.ttlMinMs"
 LINK_FIELD = "limits.linkMbps"
+MEMORY_FIELD = "limits.memoryMb"
+DESCRIPTORS_FIELD = "limits.maxFds"
+BYTES_PER_MB = 1024 * 1024
 
 
 def settings_path():
@@ -74,6 +77,13 @@
         stop_grace_s=bounds.get("graceS", 6.0),
         floor_share=bounds.get("floorShare", 0.7),
         link_mbps=parse_number(fields.get(LINK_FIELD) or "0", LINK_FIELD),
+        memory_limit_bytes=int(
+            parse_number(fields.get(MEMORY_FIELD) or "0", MEMORY_FIELD) * BYTES_PER_MB
+        ),
+        descriptor_limit=int(
+            parse_number(fields.get(DESCRIPTORS_FIELD) or "0", DESCRIPTORS_FIELD)
+        ),
+        rate_limit_window_s=bounds.get("quotaWindowS", 5.0),
     )
 
 
