--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -29,7 +29,7 @@
     return {"resourceType": "routes", "metadata": {"name": name}, "spec": spec}
 
 
-def configuration(version, routes, idle_ms=15000):
+def configuration(version, routes, idle_ms=15000, max_body_bytes=1_000_000):
     services = []
     for name in ("pedidos", "disenos"):
         spec = {"healthPath": "/health", "maxConnections": 330}
@@ -38,7 +38,7 @@
         )
     limits = {
         "maxHeaderBytes": 16384,
-        "maxBodyBytes": 1_000_000,
+        "maxBodyBytes": max_body_bytes,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": idle_ms,
     }
@@ -134,8 +134,13 @@
             found += call(process.port, "GET", "/control/cancelled").json()
         return found
 
-    def start_host(self, name, number, zone="mvd-a", wait=True, gossip_port=None):
-        """Start a host on the loopback address 127.0.0.``number``."""
+    def start_host(
+        self, name, number, zone="mvd-a", wait=True, gossip_port=None, settings=()
+    ):
+        """Start a host on the loopback address 127.0.0.``number``.
+
+        ``settings`` are more lines of its settings file.
+        """
         # The gossip port is the same on all hosts, as on the platform.
         gossip_port = gossip_port or self.store_port
         address = f"127.0.0.{number}"
@@ -153,6 +158,7 @@
             f"platform.address=127.0.0.1:{self.store_port}",
             "platform.ttlMinMs=1000",
             "bounds=graceS=6,budgetRatio=0.2,retrySlack=58,budgetWindowS=10",
+            *settings,
         ]
         path.write_text("\n".join(lines) + "\n")
         os.environ["OLEANDERROUTE_NODE_FILE"] = str(path)
