One memory budget a host for bodies and heads, and a limit on connections

Cause: HostProxy.serve keeps up to 1 MiB of each body for each of up to 4,096 connections, whatever limits.memoryMb and limits.maxFds say.

Change: decisions/memory_budget.py charges each request with what it holds. Above 0.6 of the budget large bodies that are not forwarded wait, the newest first; callers that hold much without progress for 1 s, and bodies that waited for 1.2 s, are refused with 503 memory-pressure; above 0.85 the request that holds most for longest is refused at once. entry/memory_guard.py applies this to connections, host/resource_limits.py derives the limits from the settings. A body that is streamed releases its prefix once it is sent; large bodies are no longer joined with their head; small chunks are joined as they arrive. With limits.maxFds, a new connection above the limit takes the place of one that was inactive for 1 s. Without the settings, the limits are those of before.

--- a/oleanderroute/entry/app.py
+++ b/oleanderroute/entry/app.py
@@ -8,12 +8,15 @@
 from ..ids import RequestId
 from ..outcome import CallerOutcome
 from .messages import (
+    MEMORY_CHARGE,
+    NULL_CHARGE,
     AnswerBroken,
     BodyReader,
     BodyTooLarge,
     BytesBody,
     CallerAnswer,
     CallerRequest,
+    MemoryPressure,
 )
 
 BODY_TOO_LARGE = "body-too-large"
@@ -52,6 +55,8 @@
         while not self.complete:
             message = await self.receive()
             if message["type"] != "http.request":
+                if message.get("refused", False):
+                    raise MemoryPressure()
                 raise CallerDisconnected(
                     "caller disconnected before the end of its request body"
                 )
@@ -115,12 +120,14 @@
         raw_target = scope["raw_path"]
         if scope["query_string"]:
             raw_target = raw_target + b"?" + scope["query_string"]
+        body = make_body(scope["headers"], receive)
+        body.charge = scope.get(MEMORY_CHARGE, NULL_CHARGE)
         return CallerRequest(
             scope["method"],
             scope["path"],
             raw_target,
             scope["headers"],
-            make_body(scope["headers"], receive),
+            body,
             self.clock.now(),
             RequestId(f"{self.id_prefix}-{next(self.numbers):x}"),
         )
--- a/oleanderroute/entry/caller_checks.py
+++ b/oleanderroute/entry/caller_checks.py
@@ -7,6 +7,9 @@
 
 from ..errors import OleanderError
 
+# Stalled requests are refused within this time, which makes room.
+RETRY_AFTER_LINE = b"retry-after: 1.0\r\n"
+
 
 class RefusalReason(Enum):
     """Why a request was refused before it reached the pipeline.
@@ -23,6 +26,7 @@
     HEADER_SIZE = "header-size"
     HEADER_TIMEOUT = "header-timeout"
     CONNECTIONS = "too-many-connections"
+    MEMORY = "memory-pressure"
 
 
 class RequestRefused(OleanderError):
@@ -68,8 +72,9 @@
 
 def encode_refusal(status, reason):
     """Return the encoded answer to a refused request."""
-    return b"%bcontent-length: 0\r\nconnection: close\r\n%b%b\r\n\r\n" % (
+    return b"%bcontent-length: 0\r\nconnection: close\r\n%b%b%b\r\n\r\n" % (
         STATUS_LINE[status],
+        RETRY_AFTER_LINE if reason is RefusalReason.MEMORY else b"",
         b"oleander-outcome: not-run\r\noleander-reason: ",
         reason.value.encode("ascii"),
     )
--- a/oleanderroute/entry/caller_cycle.py
+++ b/oleanderroute/entry/caller_cycle.py
@@ -66,6 +66,8 @@
     head = None
     remaining = 0
     disconnected = False
+    # Whether the request was refused for its memory before it was received.
+    refused_for_memory = False
     more_body = True
     end_delivered = False
     response_started = False
@@ -111,6 +113,13 @@
         self.head = {"status": 500, "headers": FAILED_HEADERS}
         self.write(b"", False)
 
+    def refuse_for_memory(self):
+        """Discard the body; the application is told at its next read."""
+        self.refused_for_memory = True
+        self.keep_alive = False
+        self.body = b""
+        self.message_event.set()
+
     def add_body(self, data):
         """Buffer bytes of the body until the application receives them."""
         if not self.body:
@@ -131,6 +140,8 @@
             await self.wait_for_message()
         if self.disconnected or self.response_complete:
             return {"type": "http.disconnect"}
+        if self.refused_for_memory:
+            return {"type": "http.disconnect", "refused": True}
         body = bytes(self.body)
         self.body = b""
         self.end_delivered = not self.more_body
@@ -139,17 +150,16 @@
 
     async def wait_for_message(self):
         """Wait for body bytes, the end of the request or a disconnect."""
-        if self.disconnected or self.response_complete:
+        if self.disconnected or self.response_complete or self.refused_for_memory:
             return
         self.resume_reading()
         self.message_event = asyncio.Event()
         await self.message_event.wait()
 
     def resume_reading(self):
-        """Resume reading from the caller if it was paused."""
+        """Resume reading from the caller if the application paused it."""
         if self.flow.read_paused:
-            self.flow.resume_reading()
-            self.protocol.restart_body_timeout()
+            self.protocol.resume_body()
 
     async def send(self, message):
         """Send an ASGI message; waits while the caller reads slower than the target."""
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -17,12 +17,17 @@
     encode_refusal,
 )
 from .caller_cycle import CallerCycle
+from .memory_guard import RequestCharge
+from .messages import MEMORY_CHARGE
 
 # After an early refusal, incoming bytes are discarded for this time. Closing a socket
 # with unread bytes makes the kernel send a reset, which can discard the answer.
 LINGER_S = 2.0
-# Connections above the limit that get a 503 answer; further ones are reset.
-MAX_EXCESS_CONNECTIONS = 256
+# Where descriptors are limited, a new connection takes the place of one whose caller
+# has sent or read nothing for this time.
+MIN_INACTIVE_S = 1.0
+# The parser keeps an incomplete header once more.
+HEAD_COPIES = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CHECKED_HEADERS = frozenset(
     {b"host", b"content-length", b"transfer-encoding", b"expect"}
@@ -35,6 +40,10 @@
 
     Attributes
     ----------
+    excess_connections : int
+        Connections above the limit that get a 503 answer; further ones are reset.
+    must_make_room : bool
+        Whether a new connection above the limit ends one that is inactive.
     header_bytes : int
         Size of the request line and the headers, without separators.
     header_s : float
@@ -49,6 +58,8 @@
     """
 
     connections: int = 4096
+    excess_connections: int = 256
+    must_make_room: bool = False
     header_bytes: int = 32 * 1024
     headers: int = 100
     header_s: float = 10.0
@@ -99,6 +110,12 @@
         self.host_count = 0
         self.content_length = None
         self.transfer_encoding = None
+        # Used if the host has a memory budget: the account of the request whose first
+        # byte was received.
+        self.guard = listener_state.guard
+        self.account = None
+        self.memory_paused = False
+        self.active_at = clock.now()
 
     @property
     def limits(self):
@@ -120,16 +137,49 @@
         super().connection_made(transport)
         self.deadline = self.clock.now() + self.limits.idle_s
         self.sweep.add(self)
-        excess = len(self.connections) - self.limits.connections
-        if excess > MAX_EXCESS_CONNECTIONS:
+        if self.guard is not None:
+            self.guard.open_connection()
+        limits = self.limits
+        excess = len(self.connections) - limits.connections
+        if excess > 0 and limits.must_make_room and self.make_room():
+            return
+        if excess > limits.excess_connections:
             self.abort()
         elif excess > 0:
             self.refuse(503, RefusalReason.CONNECTIONS)
 
+    def make_room(self):
+        """End the connection that is inactive for longest; tell whether there is one.
+
+        Connections on which the host or a target is at work stay.
+        """
+        inactive = None
+        inactive_since = self.clock.now() - MIN_INACTIVE_S
+        for connection in self.connections:
+            if connection.active_at <= inactive_since and connection.is_waiting():
+                inactive = connection
+                inactive_since = connection.active_at
+        if inactive is None:
+            return False
+        # It no longer counts, and its end needs another pass of the event loop.
+        self.connections.discard(inactive)
+        inactive.abort()
+        return True
+
+    def is_waiting(self):
+        """Tell whether only the caller can go on."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete or self.flow.write_paused:
+            return True
+        return cycle.more_body and not self.flow.read_paused
+
     def connection_lost(self, error):
         """Cancel the request in progress, which closes the target's connection."""
         self.sweep.discard(self)
         super().connection_lost(error)
+        if self.guard is not None:
+            self.guard.close_connection()
+            self.close_account()
         if self.task is not None:
             self.task.cancel()
 
@@ -138,6 +188,7 @@
         if self.discarding:
             return
         self.raw_bytes += len(data)
+        self.active_at = self.clock.now()
         self.body_progress = False
         try:
             self.parser.feed_data(data)
@@ -157,6 +208,10 @@
         """
         limits = self.limits
         if self.in_headers:
+            if self.account is not None:
+                self.guard.receive_head(self.account, HEAD_COPIES * received)
+            if self.lingering:
+                return
             if self.raw_bytes > limits.header_bytes:
                 self.refuse(431, RefusalReason.HEADER_SIZE)
             elif not self.header_timed:
@@ -232,6 +287,9 @@
         self.content_length = None
         self.transfer_encoding = None
         self.deadline = inf
+        if self.guard is not None:
+            self.close_account()
+            self.account = self.guard.open(self)
 
     def on_header(self, name, value):
         """Store a header; trailers after the body are dropped."""
@@ -273,6 +331,9 @@
             "client": self.client,
             "server": self.server,
         }
+        if self.account is not None:
+            self.guard.begin_body(self.account)
+            scope[MEMORY_CHARGE] = RequestCharge(self.guard, self.account)
         keep_alive = (
             self.parser.should_keep_alive() and not self.listener_state.draining
         )
@@ -317,11 +378,24 @@
         """Buffer bytes for the application; pauses reading at the high-water mark."""
         cycle = self.cycle
         self.body_progress = True
-        if cycle.response_complete:
+        if cycle.response_complete or cycle.refused_for_memory:
             return
         cycle.add_body(body)
         if len(cycle.body) > HIGH_WATER_LIMIT:
             self.flow.pause_reading()
+            if self.account is not None:
+                self.guard.throttle(self.account, True)
+        if self.account is not None:
+            self.guard.receive_body(self.account, len(body))
+
+    def resume_body(self):
+        """Resume reading, for an application that reads the body again."""
+        if self.account is not None:
+            self.guard.throttle(self.account, False)
+        if self.memory_paused:
+            return
+        self.flow.resume_reading()
+        self.restart_body_timeout()
 
     def on_message_complete(self):
         """Mark the request as complete."""
@@ -331,6 +405,8 @@
         self.message_complete = True
         if not self.flow.write_paused:
             self.deadline = inf
+        if self.account is not None:
+            self.guard.end_request(self.account)
         cycle.message_event.set()
 
     # End of a request or connection
@@ -339,6 +415,10 @@
         """Start the idle timeout for the next request unless the connection closes."""
         self.server_state.total_requests += 1
         self.task = None
+        self.memory_paused = False
+        self.active_at = self.clock.now()
+        if self.account is not None and not self.flow.write_paused:
+            self.close_account()
         if self.lingering or self.transport.is_closing():
             return
         self.flow.resume_reading()
@@ -374,12 +454,21 @@
         """Start the time limit for a caller that does not read its answer."""
         super().pause_writing()
         self.write_overdue = False
-        self.deadline = self.clock.now() + self.limits.write_timeout_s
+        self.active_at = self.clock.now()
+        self.deadline = self.active_at + self.limits.write_timeout_s
+        if self.account is not None:
+            self.guard.hold_answer(
+                self.account,
+                self.transport.get_write_buffer_size(),
+                self.cycle is None or self.cycle.response_complete,
+            )
 
     def resume_writing(self):
         """Replace the write timeout by the one of the current phase."""
         super().resume_writing()
         self.write_overdue = False
+        self.active_at = self.clock.now()
+        self.release_answer()
         if self.lingering:
             self.deadline = self.clock.now() + LINGER_S
         elif self.cycle is None or self.cycle.response_complete:
@@ -388,6 +477,48 @@
             self.deadline = inf
             self.restart_body_timeout()
 
+    # Memory budget of the host
+
+    def close_account(self):
+        """Release what the latest request was charged with."""
+        if self.account is not None:
+            self.guard.close(self.account)
+            self.account = None
+
+    def release_answer(self):
+        """Release an answer that the caller reads again."""
+        if self.account is None:
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self.close_account()
+        else:
+            self.guard.end_answer(self.account, not self.cycle.more_body)
+
+    def pause_for_memory(self):
+        """Stop reading the body of the request."""
+        self.memory_paused = True
+        self.flow.pause_reading()
+
+    def resume_after_memory(self):
+        """Read the body again unless the application is slower."""
+        self.memory_paused = False
+        if self.cycle is None or len(self.cycle.body) > HIGH_WATER_LIMIT:
+            return
+        self.flow.resume_reading()
+        self.restart_body_timeout()
+
+    def refuse_for_memory(self):
+        """Refuse the request in progress, or reset a connection with an open answer."""
+        self.memory_paused = False
+        cycle = self.cycle
+        if self.in_headers:
+            if not self.lingering:
+                self.refuse(503, RefusalReason.MEMORY)
+        elif cycle is None or cycle.response_complete or cycle.response_started:
+            self.abort()
+        else:
+            cycle.refuse_for_memory()
+
     def refuse(self, status, reason):
         """Answer a request that did not reach the pipeline, then close."""
         self.transport.write(encode_refusal(status, reason))
@@ -397,6 +528,8 @@
         """Half-close the connection and discard input until the caller closes it."""
         self.discarding = True
         self.lingering = True
+        if not self.flow.write_paused:
+            self.close_account()
         self.flow.resume_reading()
         limit_s = self.limits.write_timeout_s if self.flow.write_paused else LINGER_S
         self.deadline = self.clock.now() + limit_s
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -8,6 +8,8 @@
 from ..ids import RequestId
 from ..outcome import CallerOutcome
 
+# Chunks of a body below this size are joined as they arrive.
+SMALL_CHUNK_BYTES = 16 * 1024
 # Hop-by-hop headers of RFC 9110, section 7.6.1, and of older specifications; proxies
 # must not forward them.
 HOP_BY_HOP = frozenset(
@@ -69,10 +71,34 @@
         self.bytes_sent = False
 
 
+class MemoryPressure(OleanderError):
+    """The host gave a request up whose body holds memory that others need."""
+
+    def __init__(self):
+        super().__init__("refused for the memory that its body holds")
+        # The connection to a target sets it, as for BodyTooLarge.
+        self.bytes_sent = False
+
+
 class AnswerBroken(OleanderError):
     """An answer failed after its first bytes were sent to the caller."""
 
 
+class NullCharge:
+    """Null object for a body that no memory budget is charged with."""
+
+    def begin_forwarding(self):
+        """Do nothing."""
+
+    def release(self, size):
+        """Do nothing."""
+
+
+NULL_CHARGE = NullCharge()
+# Key of the ASGI scope with the charge of a request's body.
+MEMORY_CHARGE = "oleanderroute.memory_charge"
+
+
 class BodyReader(ABC):
     """The body of a request, read in chunks.
 
@@ -80,9 +106,12 @@
     ----------
     length : int or None
         Declared length in bytes; None for a chunked body.
+    charge : NullCharge or RequestCharge
+        Is told what becomes of the bytes that were read.
     """
 
     length: int | None = None
+    charge = NULL_CHARGE
 
     @abstractmethod
     async def read_chunk(self) -> bytes:
@@ -145,6 +174,43 @@
         return await self.rest.read_chunk()
 
 
+class ForwardedBody(BodyReader):
+    """A body that is streamed to a target, and released as it is sent.
+
+    Parameters
+    ----------
+    prefix : BodyPrefix
+        The bytes that were read before. Once they are read from here, the body can't
+        be sent again, and ``prefix`` keeps only ``kept_bytes`` of them.
+    rest : BodyReader
+    kept_bytes : int
+    """
+
+    def __init__(self, prefix, rest, kept_bytes):
+        self.length = rest.length
+        self.prefix = prefix
+        self.rest = rest
+        self.kept_bytes = kept_bytes
+        self.is_started = False
+        self.sent_bytes = 0
+
+    async def read_chunk(self):
+        """Return the prefix, then the chunks of the rest.
+
+        The caller of this method has sent the chunk before when it asks for the next.
+        """
+        self.rest.charge.release(self.sent_bytes)
+        if not self.is_started:
+            self.is_started = True
+            self.rest.charge.begin_forwarding()
+            chunk = self.prefix.content
+            self.prefix.content = chunk[: self.kept_bytes]
+        else:
+            chunk = await self.rest.read_chunk()
+        self.sent_bytes = len(chunk)
+        return chunk
+
+
 @dataclass(slots=True)
 class BodyPrefix:
     """The first bytes of a body.
@@ -167,14 +233,27 @@
     BodyPrefix
     """
     pieces = []
+    # Small chunks are collected, because each object costs some 40 bytes more.
+    small = bytearray()
     size = 0
+    is_complete = False
     while size < max_bytes:
         chunk = await body.read_chunk()
         if not chunk:
-            return BodyPrefix(b"".join(pieces), True)
-        pieces.append(chunk)
+            is_complete = True
+            break
         size += len(chunk)
-    return BodyPrefix(b"".join(pieces), size == body.length)
+        if not small and len(chunk) >= SMALL_CHUNK_BYTES:
+            pieces.append(chunk)
+            continue
+        small += chunk
+        if len(small) >= SMALL_CHUNK_BYTES:
+            pieces.append(bytes(small))
+            small = bytearray()
+    pieces.append(bytes(small))
+    # Without a list of pieces, a small body is copied only once.
+    content = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+    return BodyPrefix(content, is_complete or size == body.length)
 
 
 @dataclass(slots=True)
--- a/oleanderroute/entry/server.py
+++ b/oleanderroute/entry/server.py
@@ -14,6 +14,8 @@
 from .target_pool import set_keepalive
 
 BACKLOG = 1024
+# Doubled by the kernel. 64 KiB in each round trip of 1 ms are 64 MB/s.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.02
 # Callers that go on connecting must not hold up a stop.
@@ -31,12 +33,15 @@
     Attributes
     ----------
     limits : CallerLimits
+    guard : MemoryGuard or None
+        Charged with what callers hold, if there is a budget.
     draining : bool
         Whether answers carry ``Connection: close``.
     """
 
-    def __init__(self, limits):
+    def __init__(self, limits, guard=None):
         self.limits = limits
+        self.guard = guard
         self.draining = False
 
 
@@ -52,14 +57,15 @@
         0 lets the system choose; ``port`` is the actual port after ``start``.
     limits : CallerLimits
     clock : Clock
+    guard : MemoryGuard, optional
     """
 
-    def __init__(self, application, address, port, limits=None, clock=None):
+    def __init__(self, application, address, port, limits=None, clock=None, guard=None):
         self.address = address
         self.port = port
         self.clock = clock or SystemClock()
         self.sweep = DeadlineSweep(self.clock, SWEEP_INTERVAL_S)
-        self.listener_state = ListenerState(limits or CallerLimits())
+        self.listener_state = ListenerState(limits or CallerLimits(), guard)
         self.config = uvicorn.Config(
             application,
             http=functools.partial(
@@ -76,10 +82,17 @@
             proxy_headers=False,
             server_header=False,
             date_header=False,
-            backlog=BACKLOG,
+            backlog=self.backlog(),
         )
         self.server = uvicorn.Server(self.config)
 
+    def backlog(self):
+        """Return how many connections may wait to be accepted, all at once."""
+        limits = self.listener_state.limits
+        if limits.must_make_room:
+            return min(BACKLOG, limits.connections)
+        return BACKLOG
+
     @property
     def connections(self):
         """The set of open ``CallerProtocol`` objects."""
@@ -102,6 +115,10 @@
             If the address is in use or not assigned to this machine.
         """
         sock = listening_socket(self.address, self.port)
+        if self.listener_state.guard is not None:
+            # Accepted sockets inherit it. It bounds what one read can deliver before
+            # the budget is asked, and the kernel's buffers.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.port = sock.getsockname()[1]
         self.config.load()
         self.server.lifespan = self.config.lifespan_class(self.config)
--- a/oleanderroute/entry/target_connection.py
+++ b/oleanderroute/entry/target_connection.py
@@ -24,6 +24,8 @@
 from .request_writer import copy_body, encode_head
 
 MAX_HEADER_BYTES = 64 * 1024
+# Larger bodies are written apart from the head.
+MAX_JOINED_BODY_BYTES = 64 * 1024
 # A request must reach the target before the target closes an idle connection. The
 # margin covers network latency and the rounding of the announced timeout.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -223,7 +225,12 @@
             self.transport.write(head)
             self.sender = asyncio.ensure_future(self.send_body(request))
             return
-        self.transport.write(head + request.body if request.body else head)
+        if len(request.body) > MAX_JOINED_BODY_BYTES:
+            # Joining would copy the body for as long as the target doesn't read it.
+            self.transport.write(head)
+            self.transport.write(request.body)
+        else:
+            self.transport.write(head + request.body if request.body else head)
         self.request_sent()
 
     def request_sent(self):
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from math import inf
 
 from ..clock import SystemClock
 from ..errors import ConnectFailed, TargetError
@@ -202,6 +203,8 @@
         self.targets = {}
         self.limits = {}
         self.idle_timer = None
+        # Open connections to all targets together.
+        self.total_limit = inf
 
     async def exchange(
         self, target, request, first_byte_s, between_bytes_s, fresh=False
@@ -232,9 +235,32 @@
         connections = self.connections_to(target)
         connection = None if fresh else connections.take_idle()
         if connection is None:
+            self.make_room()
             connection = await connections.connect(self.connect_timeout_s)
         return await connection.exchange(request, first_byte_s, between_bytes_s)
 
+    def make_room(self):
+        """Close the connection that is idle for longest, at the limit on all of them.
+
+        Raises
+        ------
+        ConnectionLimitReached
+            If none is idle.
+        """
+        if self.total_limit == inf:
+            return
+        count = 0
+        idle = []
+        for connections in self.targets.values():
+            count += len(connections.open) + connections.opening
+            idle += connections.idle
+        if count < self.total_limit:
+            return
+        if not idle:
+            raise ConnectionLimitReached(self.total_limit)
+        oldest = min(idle, key=lambda connection: connection.idle_since)
+        oldest.owner.close_idle(lambda each: each is oldest)
+
     def connections_to(self, target):
         """Return the pool of ``target``, a new one if its incarnation changed."""
         connections = self.targets.get(target.target_id)
@@ -277,12 +303,13 @@
 
         Raises
         ------
-        ConnectFailed
+        ConnectFailed, ConnectionLimitReached
         """
         connections = self.connections_to(target)
         while len(connections.idle) < count:
             if len(connections.open) + connections.opening >= connections.limit:
                 return
+            self.make_room()
             connections.idle.append(await connections.connect(self.connect_timeout_s))
 
     def check_idle(self):
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -662,3 +662,19 @@
     Level.INFO,
     ("request", "path", "reason", "version", "news_age_s", "left_out"),
 )
+MEMORY_PRESSURE_TURNED = define(
+    670,
+    "memory_pressure_turned",
+    "Requests hold so much of the memory budget that large bodies wait, or no longer.",
+    Level.WARNING,
+    ("pressed", "held_bytes", "limit_bytes", "left_out"),
+    "Find callers that send large bodies slowly, or raise limits.memoryMb.",
+)
+MEMORY_REFUSED = define(
+    671,
+    "memory_refused",
+    "A request was refused, or its connection reset, for the memory that it held.",
+    Level.WARNING,
+    ("phase", "held_bytes", "all_held_bytes", "left_out"),
+    "Find the callers that keep requests incomplete or leave answers unread.",
+)
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -60,6 +60,22 @@
             "store had other items.",
             registry=registry,
         )
+        self.memory_held = Gauge(
+            "oleander_host_memory_held_bytes",
+            "Bytes that requests and connections hold of the memory budget.",
+            registry=registry,
+        )
+        self.memory_limit = Gauge(
+            "oleander_host_memory_limit_bytes",
+            "The memory budget: what requests and connections may hold.",
+            registry=registry,
+        )
+        self.memory_refusals = Counter(
+            "oleander_host_memory_refusals_total",
+            "Requests refused or cut off for the memory they hold, by what they "
+            "waited for.",
+            registry=registry,
+        )
         self.counted_sends = Gauge(
             "oleander_host_counted_sends",
             "Sends in the window of the repeat limit, by service, kind and sender.",
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -14,7 +14,6 @@
 from .. import events
 from ..clock import SystemClock
 from ..decisions.selection import Selector
-from ..entry.caller_protocol import CallerLimits
 from ..entry.server import CallerServer
 from ..entry.target_pool import TargetPool
 from ..errors import SettingsError
@@ -33,6 +32,7 @@
 from .logsink import LogSink
 from .proxy import HostProxy
 from .requestlog import RequestLog
+from .resource_limits import MemoryReports, ResourceLimits, process_bytes
 from .summary import SummaryLog
 from .target_sender import TargetSender
 
@@ -95,6 +95,9 @@
         )
         self.copies = CopyServer(self.view, self.clock)
         self.summary = SummaryLog(self.view, self.gossip, self.metrics)
+        self.limits = ResourceLimits(settings, process_bytes())
+        self.pool.total_limit = self.limits.target_connections
+        self.memory_reports = MemoryReports(self.metrics, self.clock)
         self.build_request_path()
 
     @property
@@ -135,7 +138,9 @@
             HostApplication(self.proxy, self.clock),
             settings.address,
             settings.caller_port,
-            clock=self.clock,
+            self.limits.caller_limits(),
+            self.clock,
+            self.memory_reports.make_guard(self.limits.budget_bytes, self.clock),
         )
         status = StatusApplication(headers.READINESS_PATH, self.is_ready, self.metrics)
         self.status_server = CallerServer(
@@ -154,7 +159,7 @@
         self.metrics.version.set({}, configuration.version)
         bounds = configuration.bounds
         self.caller_server.set_limits(
-            CallerLimits(
+            self.limits.caller_limits(
                 header_bytes=bounds.header_bytes,
                 header_s=bounds.header_s,
                 idle_s=bounds.idle_s,
@@ -221,6 +226,7 @@
             self.view.remove_expired_hosts(now)
             self.metrics.log_lines_dropped.set({}, self.sink.dropped)
             self.summary.update(now)
+            self.memory_reports.update()
             self.follower.finish_load("host")
             if file_signature(self.settings_path) != self.settings_signature:
                 self.reload_settings()
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -3,7 +3,13 @@
 from math import inf
 
 from .. import events
-from ..entry.messages import BodyTooLarge, CallerAnswer, TargetAnswer, read_body_prefix
+from ..entry.messages import (
+    BodyTooLarge,
+    CallerAnswer,
+    MemoryPressure,
+    TargetAnswer,
+    read_body_prefix,
+)
 from ..errors import CallerDisconnected, format_failure
 from ..outcome import CallerOutcome
 from .exchange import Exchange
@@ -13,6 +19,8 @@
 # Bodies up to this size are read before a target is chosen, so that a slow caller
 # occupies no slot and a refused request can be sent to another target.
 BUFFERED_BODY_BYTES = 1024 * 1024
+# Stalled requests are refused within this time, which makes room.
+MEMORY_RETRY_AFTER_S = 1.0
 ANSWERED = "answered"
 # Requests that were sent within 3 s of a stop signal belong to the work that may be cut
 # at the end of the grace period. A request arrives a little later than it was sent.
@@ -91,6 +99,10 @@
             answer = await self.run(exchange)
         except BodyTooLarge:
             answer = refusal_answer(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
+        except MemoryPressure:
+            answer = refusal_answer(
+                HostReason.MEMORY_PRESSURE, exchange.may_have_run, MEMORY_RETRY_AFTER_S
+            )
         except CallerDisconnected:
             answer = refusal_answer(HostReason.BODY_INCOMPLETE, exchange.may_have_run)
         except Exception as error:
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -4,9 +4,10 @@
 import itertools
 
 from .. import events
+from ..decisions.fingerprint import BODY_HEAD_BYTES
 from ..decisions.health import Finding
 from ..decisions.restrictions import parse_pause_s
-from ..entry.messages import OutgoingRequest, PrefixedBody
+from ..entry.messages import ForwardedBody, OutgoingRequest
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import (
     BetweenBytesTimeout,
@@ -200,7 +201,8 @@
         body = exchange.body_prefix.content
         length = None
         if not exchange.body_prefix.complete:
-            body = PrefixedBody(exchange.body_prefix.content, request.body)
+            # The start of the body stays, for the fingerprint of the request.
+            body = ForwardedBody(exchange.body_prefix, request.body, BODY_HEAD_BYTES)
             length = request.body.length
             exchange.body_consumed = True
         return OutgoingRequest(
