Unread answers and sends are charged to the memory budget

Cause: 400 callers that leave answers unread took the host to 139.3 MiB with a limit of 96. The answers arrive in one pass of the event loop, 256 KiB each, before any of them is written. A caller that stops reading also kept its target waiting until the write timeout of 60 s.

Change: a request is charged 128 KiB when it is about to be sent, and refused with 503 memory-pressure if the budget has no room after others were refused. Sockets to targets get a receive buffer of 64 KiB where memory is limited. The connection of a caller is paused above 16 KiB of unread answer. A streamed answer releases its target at the time limit of the request also if nobody reads it; an answer that ended so is never taken for a complete one. Bodies go on in the order of their number, as many can begin at the same time.

--- a/oleanderroute/decisions/memory_budget.py
+++ b/oleanderroute/decisions/memory_budget.py
@@ -1,5 +1,6 @@
 """Budget for the memory that requests hold, and whom it makes wait or refuses."""
 
+import itertools
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
@@ -53,8 +54,8 @@
     ----------
     owner : object
         The connection; not used by the budget.
-    opened_at : float
-        Monotonic seconds.
+    number : int
+        Requests that began later have higher numbers.
     request_bytes, answer_bytes : int
         Bytes held of the request and of its answer.
     received_bytes : int
@@ -70,7 +71,7 @@
     """
 
     owner: object
-    opened_at: float
+    number: int
     phase: Phase = Phase.HEAD
     request_bytes: int = 0
     answer_bytes: int = 0
@@ -130,6 +131,7 @@
         # Part of held_bytes of requests that were refused and have not ended yet.
         self.leaving_bytes = 0
         self.accounts = set()
+        self.numbers = itertools.count()
         self.is_pressed = False
         self.paused = set()
         self.readers = set()
@@ -140,7 +142,7 @@
 
     def open(self, owner, now):
         """Return the account of a new request."""
-        account = Account(owner, now, progress_at=now)
+        account = Account(owner, next(self.numbers), progress_at=now)
         self.accounts.add(account)
         return account
 
@@ -191,7 +193,7 @@
 
     def must_review(self, account):
         """Tell whether a charge to ``account`` calls for a review at once."""
-        if self.held_bytes - self.leaving_bytes > self.refuse_bytes:
+        if self.is_full:
             return True
         if self.held_bytes <= self.pause_bytes:
             return False
@@ -217,6 +219,11 @@
         account.progress_at = now
         self.paused.discard(account)
 
+    @property
+    def is_full(self):
+        """Whether requests must be refused at once."""
+        return self.held_bytes - self.leaving_bytes > self.refuse_bytes
+
     @property
     def needs_reviews(self):
         """Whether reviews must go on without new charges."""
@@ -237,18 +244,22 @@
         self.refuse_overdue(review, now)
         if self.is_pressed:
             self.refuse_stalled(review, now)
-        if self.held_bytes - self.leaving_bytes > self.refuse_bytes:
+        if self.is_full:
             self.refuse_largest(review, now)
         self.choose_readers(review, now)
         return review
 
     def refuse(self, review, account):
         """Refuse the request of an account."""
+        self.mark_refused(account)
+        review.refused.append(account)
+
+    def mark_refused(self, account):
+        """Count what an account holds as leaving."""
         account.is_refused = True
         self.leaving_bytes += account.held_bytes
         self.paused.discard(account)
         self.readers.discard(account)
-        review.refused.append(account)
 
     def refuse_overdue(self, review, now):
         """Refuse the requests whose bodies have waited too long."""
@@ -309,7 +320,7 @@
             self.readers.clear()
             return
         large = [account for account in self.accounts if account.is_large_body]
-        large.sort(key=lambda account: account.opened_at)
+        large.sort(key=lambda account: account.number)
         self.readers.clear()
         for account in large:
             needed_bytes = max(READ_BYTES, step_bytes - account.request_bytes)
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -26,6 +26,7 @@
 # Where descriptors are limited, a new connection takes the place of one whose caller
 # has sent or read nothing for this time.
 MIN_INACTIVE_S = 1.0
+MAX_UNCHARGED_ANSWER_BYTES = 16 * 1024
 # The parser keeps an incomplete header once more.
 HEAD_COPIES = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -139,6 +140,8 @@
         self.sweep.add(self)
         if self.guard is not None:
             self.guard.open_connection()
+            # What a caller leaves unread beyond this is charged to its request.
+            transport.set_write_buffer_limits(high=MAX_UNCHARGED_ANSWER_BYTES)
         limits = self.limits
         excess = len(self.connections) - limits.connections
         if excess > 0 and limits.must_make_room and self.make_room():
--- a/oleanderroute/entry/memory_guard.py
+++ b/oleanderroute/entry/memory_guard.py
@@ -3,16 +3,20 @@
 import asyncio
 
 from ..decisions.memory_budget import Phase
+from .answer_stream import BUFFER_BYTES
+from .messages import MemoryPressure
 
 # Between two reviews near the limit.
 REVIEW_INTERVAL_S = 0.1
 # For the objects of one connection and its parser.
 CONNECTION_BYTES = 16 * 1024
-# For what a request holds beside its body: its task, its headers, a send to a target
-# and a short answer.
+# For what a request holds beside its body: its task and its headers.
 REQUEST_BYTES = 32 * 1024
-# A received answer that can't be written yet, beside the connection's own buffer.
-UNWRITTEN_ANSWER_BYTES = 192 * 1024
+# For a send to a target: one read from the target's connection. The answers to many
+# requests can arrive in one pass of the event loop, before the budget is asked.
+SEND_BYTES = 128 * 1024
+# What a stream buffers of an answer before the target's connection is paused.
+UNWRITTEN_ANSWER_BYTES = BUFFER_BYTES
 
 
 class MemoryGuard:
@@ -150,6 +154,25 @@
         self.guard = guard
         self.account = account
 
+    def begin_send(self):
+        """Charge a request that is about to be sent to a target.
+
+        Raises
+        ------
+        MemoryPressure
+            If the budget has no room, also after others were refused.
+        """
+        guard = self.guard
+        account = self.account
+        guard.budget.add_request_bytes(account, SEND_BYTES)
+        guard.check(account)
+        if account.is_refused:
+            raise MemoryPressure()
+        if guard.budget.is_full:
+            guard.budget.mark_refused(account)
+            guard.on_refused(account)
+            raise MemoryPressure()
+
     def begin_forwarding(self):
         """Record that the body is being sent to a target."""
         account = self.account
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -87,6 +87,9 @@
 class NullCharge:
     """Null object for a body that no memory budget is charged with."""
 
+    def begin_send(self):
+        """Do nothing."""
+
     def begin_forwarding(self):
         """Do nothing."""
 
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -38,12 +38,21 @@
         self.reused = False
 
 
-def open_socket(address):
-    """Return a non-blocking TCP socket for an IPv4 or IPv6 ``address``."""
+def open_socket(address, receive_buffer_bytes=None):
+    """Return a non-blocking TCP socket for an IPv4 or IPv6 ``address``.
+
+    Parameters
+    ----------
+    address : str
+    receive_buffer_bytes : int, optional
+        Size of the kernel's buffer; otherwise the kernel adjusts it.
+    """
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     set_keepalive(sock)
     return sock
 
@@ -78,6 +87,7 @@
         self.open = set()
         self.opening = 0
         self.opened = 0
+        self.receive_buffer_bytes = None
         # Connections with a lower serial were opened before one that timed out.
         self.suspect_below_serial = 0
 
@@ -99,7 +109,7 @@
     async def connect_socket(self, timeout_s):
         """Connect a socket within ``timeout_s`` and return its ``TargetConnection``."""
         target = self.target
-        sock = open_socket(target.address)
+        sock = open_socket(target.address, self.receive_buffer_bytes)
         try:
             async with asyncio.timeout(timeout_s):
                 loop = asyncio.get_running_loop()
@@ -205,6 +215,8 @@
         self.idle_timer = None
         # Open connections to all targets together.
         self.total_limit = inf
+        # Bounds what one read from a target delivers; None: the kernel's choice.
+        self.receive_buffer_bytes = None
 
     async def exchange(
         self, target, request, first_byte_s, between_bytes_s, fresh=False
@@ -273,6 +285,7 @@
         connections = TargetConnections(
             target, limit, self.clock, self.sweep, self.dialect
         )
+        connections.receive_buffer_bytes = self.receive_buffer_bytes
         self.targets[target.target_id] = connections
         if self.idle_timer is None:
             self.check_idle()
--- a/oleanderroute/host/limited_stream.py
+++ b/oleanderroute/host/limited_stream.py
@@ -27,6 +27,12 @@
         self.clock = clock
         self.on_timeout = on_timeout
         self.passed_bytes = 0
+        self.is_expired = False
+        # Without a reader, nothing else would end the body: a target must not wait for
+        # a caller that has stopped reading.
+        self.timer = asyncio.get_running_loop().call_later(
+            max(0.0, deadline_at - clock.now()), self.expire
+        )
 
     async def __anext__(self):
         """Return the next bytes of the body.
@@ -40,16 +46,27 @@
         """
         remaining_s = self.deadline_at - self.clock.now()
         # Bytes that are at hand do not wait, so a timeout alone would never end them.
-        if remaining_s <= 0.0:
+        if remaining_s <= 0.0 or self.is_expired:
             raise self.end()
         try:
             async with asyncio.timeout(remaining_s):
                 chunk = await anext(self.stream)
         except TimeoutError as error:
             raise self.end() from error
+        except Exception as error:
+            # An abandoned stream ends like a complete one.
+            if self.is_expired:
+                raise self.end() from error
+            self.timer.cancel()
+            raise
         self.passed_bytes += len(chunk)
         return chunk
 
+    def expire(self):
+        """Close the target's connection at the time limit."""
+        self.is_expired = True
+        self.stream.abandon()
+
     def end(self):
         """Close the target's connection and return the error for the reader."""
         self.abandon()
@@ -58,4 +75,5 @@
 
     def abandon(self):
         """Discard the rest; closes the target's connection if it is incomplete."""
+        self.timer.cancel()
         self.stream.abandon()
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -14,7 +14,7 @@
 from .. import events
 from ..clock import SystemClock
 from ..decisions.selection import Selector
-from ..entry.server import CallerServer
+from ..entry.server import RECEIVE_BUFFER_BYTES, CallerServer
 from ..entry.target_pool import TargetPool
 from ..errors import SettingsError
 from ..platform import documents, headers, node_file
@@ -97,6 +97,8 @@
         self.summary = SummaryLog(self.view, self.gossip, self.metrics)
         self.limits = ResourceLimits(settings, process_bytes())
         self.pool.total_limit = self.limits.target_connections
+        if self.limits.budget_bytes:
+            self.pool.receive_buffer_bytes = RECEIVE_BUFFER_BYTES
         self.memory_reports = MemoryReports(self.metrics, self.clock)
         self.build_request_path()
 
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -96,6 +96,7 @@
                 exchange.body_prefix = await read_body_prefix(
                     request.body, BUFFERED_BODY_BYTES
                 )
+            request.body.charge.begin_send()
             answer = await self.run(exchange)
         except BodyTooLarge:
             answer = refusal_answer(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
