Tests of the memory budget without a network

Cause: the tests of untrusted callers need processes, and can't tell a charge that is never released from one that is.

--- /dev/null
+++ b/features/steps/memory_budget_steps.py
@@ -0,0 +1,224 @@
+"""Steps for the memory budget, without a network."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from oleanderroute.decisions.memory_budget import MemoryBudget, Phase
+from oleanderroute.host.model import HostSettings
+from oleanderroute.host.resource_limits import ResourceLimits
+
+KIB = 1024
+MIB = 1024 * 1024
+TICK_S = 0.1
+BODY_BYTES = MIB
+PIECE_BYTES = 64 * KIB
+ORDINARY_BYTES = 2 * KIB
+SETTINGS = HostSettings(
+    "h", "127.0.0.1", "a", "r", 1, 2, 3, 4, (), "127.0.0.1:5", 1.0, 0.2, 0.0, 10.0, 6.0
+)
+USED_BYTES = 40 * MIB
+STEPS = st.lists(
+    st.tuples(st.integers(0, 6), st.integers(0, 5), st.integers(-3, 9)),
+    min_size=50,
+    max_size=80,
+)
+
+
+def compare_with_sum(steps):
+    budget = MemoryBudget(100)
+    accounts = [budget.open(None, 0.0) for _ in range(6)]
+    held = [0] * 6
+    for number, (action, index, size) in enumerate(steps):
+        now = number / 10
+        account = accounts[index]
+        if action <= 1:
+            budget.add_request_bytes(account, size)
+        elif action == 2:
+            budget.add_answer_bytes(account, size)
+        elif action == 3:
+            budget.receive(account, abs(size), now)
+        elif action == 4:
+            budget.review(now)
+        elif action == 5:
+            # Closed twice; what is charged or released later must not count.
+            budget.close(account)
+            budget.close(account)
+            budget.add_request_bytes(account, size)
+        else:
+            budget.close(account)
+            accounts[index] = budget.open(None, now)
+            accounts[index].phase = Phase.BODY
+        held = [each.held_bytes for each in accounts]
+        refused = [each.held_bytes for each in accounts if each.is_refused]
+        assert min(held) >= 0
+        assert budget.held_bytes == sum(held)
+        assert budget.leaving_bytes == sum(refused)
+    for account in accounts:
+        budget.close(account)
+    assert budget.held_bytes == 0 and budget.leaving_bytes == 0
+    assert not budget.accounts and not budget.paused and not budget.readers
+
+
+@then("memory budget: random charges and releases agree with a plain sum")
+def step_sum(context):
+    options = settings(
+        max_examples=200,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    options(for_all(STEPS)(compare_with_sum))()
+
+
+class SimulatedHost:
+    """Callers in virtual time that charge one budget as connections do."""
+
+    def __init__(self, limit_bytes):
+        self.budget = MemoryBudget(limit_bytes)
+        self.now = 100.0
+        self.most_held = 0
+        self.received = []
+        self.refused = []
+        self.waited = []
+
+    def open(self, name, phase=Phase.BODY):
+        account = self.budget.open(name, self.now)
+        account.phase = phase
+        return account
+
+    def receive(self, account, size):
+        """Receive ``size`` bytes unless the caller has to wait or is refused."""
+        if account.is_refused or account.is_closed or account.paused_at is not None:
+            return
+        self.budget.receive(account, size, self.now)
+        self.after_charge(account)
+
+    def hold_answer(self, account, size):
+        self.budget.add_answer_bytes(account, size)
+        self.after_charge(account)
+
+    def after_charge(self, account):
+        if self.budget.must_review(account):
+            self.review()
+        elif self.budget.must_wait(account):
+            self.budget.pause(account, self.now)
+            self.waited.append(account.owner)
+        self.most_held = max(self.most_held, self.budget.held_bytes)
+
+    def review(self):
+        review = self.budget.review(self.now)
+        self.waited += [account.owner for account in review.paused]
+        for account in review.refused:
+            self.refused.append(account.owner)
+            self.budget.close(account)
+
+    def end(self, account):
+        if not account.is_closed:
+            self.received.append(account.owner)
+        self.budget.close(account)
+
+
+def stop_short(host, account):
+    missing = BODY_BYTES - 1 - account.received_bytes
+    if missing > 0:
+        host.receive(account, min(4 * PIECE_BYTES, missing))
+
+
+def send_single_bytes(host, account):
+    if account.received_bytes < 4 * PIECE_BYTES:
+        host.receive(account, PIECE_BYTES)
+    else:
+        host.receive(account, 1)
+
+
+def leave_unread(host, account):
+    if account.phase is Phase.BODY:
+        account.phase = Phase.ANSWER
+        host.hold_answer(account, 5 * PIECE_BYTES)
+
+
+def send_slowly(host, account):
+    # 40 KiB/s, which ends after the 10 s of the run.
+    host.receive(account, 4 * KIB)
+
+
+def send_large(host, account):
+    host.receive(account, PIECE_BYTES)
+    if account.received_bytes >= BODY_BYTES:
+        host.end(account)
+
+
+BEHAVIOURS = {
+    "stop short": stop_short,
+    "go on with single bytes": send_single_bytes,
+    "leave answers unread": leave_unread,
+    "send slowly": send_slowly,
+    "send large bodies": send_large,
+}
+
+
+@given("memory budget: {count:d} callers that {behaviour} at a budget of {size:d} MiB")
+def step_callers(context, count, behaviour, size):
+    context.host = SimulatedHost(size * MIB)
+    context.count = count
+    context.behave_as = BEHAVIOURS[behaviour]
+
+
+@when("memory budget: {rate:d} ordinary requests a second arrive for {length:d} s")
+def step_run(context, rate, length):
+    host = context.host
+    crowd = [host.open(number) for number in range(context.count)]
+    ordinary = []
+    for tick in range(int(length / TICK_S)):
+        host.now += TICK_S
+        for number in range(rate * tick // 10, rate * (tick + 1) // 10):
+            ordinary.append(host.open(f"ordinary {number}"))
+            host.receive(ordinary[-1], ORDINARY_BYTES)
+        for account in crowd:
+            if not account.is_refused and not account.is_closed:
+                context.behave_as(host, account)
+        if host.budget.needs_reviews:
+            host.review()
+    for account in ordinary:
+        host.end(account)
+    context.ordinary = [account.owner for account in ordinary]
+
+
+@then("memory budget: no ordinary request waits or is refused")
+def step_ordinary(context):
+    assert len(context.ordinary) == 50, context.ordinary
+    assert set(context.ordinary) <= set(context.host.received)
+    assert not set(context.ordinary) & set(context.host.waited)
+
+
+@then("memory budget: at most {size:d} MiB are held at any time")
+def step_held(context, size):
+    assert context.host.most_held <= size * MIB, context.host.most_held / MIB
+
+
+@then("memory budget: at least {count:d} bodies were received, the oldest first")
+def step_received(context, count):
+    received = context.host.received
+    assert len(received) >= count, received
+    # Those that were made to wait first are the newest.
+    assert received[:count] == sorted(received)[:count], received
+
+
+@then(
+    "memory budget: settings with {memory:d} MB and {files:d} descriptors give "
+    "{budget:d} MB and {connections:d} connections"
+)
+def step_settings(context, memory, files, budget, connections):
+    known = replace(SETTINGS, memory_limit_bytes=memory * MIB, descriptor_limit=files)
+    limits = ResourceLimits(known, USED_BYTES)
+    found = limits.caller_limits()
+    assert limits.budget_bytes // MIB == budget, limits.budget_bytes / MIB
+    assert found.connections == connections, found
+    if files:
+        total = found.connections + found.excess_connections
+        assert total + limits.target_connections + 200 <= max(files, 232)
