--- a/features/steps/api_keys_steps.py
+++ b/features/steps/api_keys_steps.py
@@ -14,7 +14,12 @@
 from features.support.platform_fleet import HOST, configuration, route, workspace
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.selection import Selector
-from oleanderroute.entry.messages import BytesBody, CallerRequest, TargetAnswer
+from oleanderroute.entry.messages import (
+    NULL_CHARGE,
+    BytesBody,
+    CallerRequest,
+    TargetAnswer,
+)
 from oleanderroute.errors import ConnectFailed, ConnectionBroken, DocumentError
 from oleanderroute.host.api_keys import ApiKeys
 from oleanderroute.host.findings import FindingReporter
@@ -167,7 +172,7 @@
         for line in filter(None, (part.strip() for part in sent.split(" / "))):
             name, _, value = line.partition(":")
             lines.append((name.lower().encode(), value.strip().encode()))
-        body = SimpleNamespace(length=0, limit=lambda most: None)
+        body = SimpleNamespace(length=0, limit=lambda most: None, charge=NULL_CHARGE)
         if method == "POST":
             body = self.body()
         request = CallerRequest(
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from math import inf
 
 from ..clock import SystemClock
 from ..errors import ConnectFailed, TargetError
@@ -37,12 +38,21 @@
         self.reused = False
 
 
-def open_socket(address):
-    """Return a non-blocking TCP socket for an IPv4 or IPv6 ``address``."""
+def open_socket(address, receive_buffer_bytes=None):
+    """Return a non-blocking TCP socket for an IPv4 or IPv6 ``address``.
+
+    Parameters
+    ----------
+    address : str
+    receive_buffer_bytes : int, optional
+        Size of the kernel's buffer; otherwise the kernel adjusts it.
+    """
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     set_keepalive(sock)
     return sock
 
@@ -77,6 +87,7 @@
         self.open = set()
         self.opening = 0
         self.opened = 0
+        self.receive_buffer_bytes = None
         # Connections with a lower serial were opened before one that timed out.
         self.suspect_below_serial = 0
 
@@ -98,7 +109,7 @@
     async def connect_socket(self, timeout_s):
         """Connect a socket within ``timeout_s`` and return its ``TargetConnection``."""
         target = self.target
-        sock = open_socket(target.address)
+        sock = open_socket(target.address, self.receive_buffer_bytes)
         try:
             async with asyncio.timeout(timeout_s):
                 loop = asyncio.get_running_loop()
@@ -202,6 +213,10 @@
         self.targets = {}
         self.limits = {}
         self.idle_timer = None
+        # Open connections to all targets together.
+        self.total_limit = inf
+        # Bounds what one read from a target delivers; None: the kernel's choice.
+        self.receive_buffer_bytes = None
 
     async def exchange(
         self, target, request, first_byte_s, between_bytes_s, fresh=False
@@ -232,6 +247,7 @@
         connections = self.connections_to(target)
         connection = None if fresh else connections.take_idle()
         if connection is None:
+            self.make_room()
             connection = await connections.connect(self.connect_timeout_s)
             if request.on_connected is not None:
                 try:
@@ -241,6 +257,28 @@
                     raise
         return await connection.exchange(request, first_byte_s, between_bytes_s)
 
+    def make_room(self):
+        """Close the connection that is idle for longest, at the limit on all of them.
+
+        Raises
+        ------
+        ConnectionLimitReached
+            If none is idle.
+        """
+        if self.total_limit == inf:
+            return
+        count = 0
+        idle = []
+        for connections in self.targets.values():
+            count += len(connections.open) + connections.opening
+            idle += connections.idle
+        if count < self.total_limit:
+            return
+        if not idle:
+            raise ConnectionLimitReached(self.total_limit)
+        oldest = min(idle, key=lambda connection: connection.idle_since)
+        oldest.owner.close_idle(lambda each: each is oldest)
+
     def connections_to(self, target):
         """Return the pool of ``target``, a new one if its incarnation changed."""
         connections = self.targets.get(target.target_id)
@@ -253,6 +291,7 @@
         connections = TargetConnections(
             target, limit, self.clock, self.sweep, self.dialect
         )
+        connections.receive_buffer_bytes = self.receive_buffer_bytes
         self.targets[target.target_id] = connections
         if self.idle_timer is None:
             self.check_idle()
@@ -283,12 +322,13 @@
 
         Raises
         ------
-        ConnectFailed
+        ConnectFailed, ConnectionLimitReached
         """
         connections = self.connections_to(target)
         while len(connections.idle) < count:
             if len(connections.open) + connections.opening >= connections.limit:
                 return
+            self.make_room()
             connections.idle.append(await connections.connect(self.connect_timeout_s))
 
     def check_idle(self):
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -4,7 +4,13 @@
 
 from .. import events
 from ..entry.credentials import hide_credentials
-from ..entry.messages import BodyTooLarge, CallerAnswer, TargetAnswer, read_body_prefix
+from ..entry.messages import (
+    BodyTooLarge,
+    CallerAnswer,
+    MemoryPressure,
+    TargetAnswer,
+    read_body_prefix,
+)
 from ..errors import CallerDisconnected, format_failure
 from ..outcome import CallerOutcome
 from .api_keys import ApiKeys
@@ -15,6 +21,8 @@
 # Bodies up to this size are read before a target is chosen, so that a slow caller
 # occupies no slot and a refused request can be sent to another target.
 BUFFERED_BODY_BYTES = 1024 * 1024
+# Stalled requests are refused within this time, which makes room.
+MEMORY_RETRY_AFTER_S = 1.0
 ANSWERED = "answered"
 # Requests that were sent within 3 s of a stop signal belong to the work that may be cut
 # at the end of the grace period. A request arrives a little later than it was sent.
@@ -94,9 +102,14 @@
                 exchange.body_prefix = await read_body_prefix(
                     request.body, BUFFERED_BODY_BYTES
                 )
+            request.body.charge.begin_send()
             answer = await self.run(exchange)
         except BodyTooLarge:
             answer = refusal_answer(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
+        except MemoryPressure:
+            answer = refusal_answer(
+                HostReason.MEMORY_PRESSURE, exchange.may_have_run, MEMORY_RETRY_AFTER_S
+            )
         except CallerDisconnected:
             answer = refusal_answer(HostReason.BODY_INCOMPLETE, exchange.may_have_run)
         except Exception as error:
