Bound the cost of odd credentials; hide texts that contain one as a whole

Each credential of a request was replaced in log texts one after the other, so that a crafted Authorization of many short words could make the text grow with every replacement, and cost a search for each of thousands of words. A text with a credential is now hidden as a whole, and over 32 words count as any text.

--- a/features/api_keys.feature
+++ b/features/api_keys.feature
@@ -65,6 +65,7 @@
       | /free/1 | Authorization: Bearer "KEY-ACME", / X-Copy: KEY-ACME        | no tenant       |
       | /free/1 | Authorization: Bearer KEY-ACME / Authorization: Bearer KEY-OTRA / X-Copy: KEY-OTRA | no tenant |
       | /free/1 | Authorization: Bearer KEY-ACME / X-Tenant: otra             | tenant acme     |
+      | /free/1 | Authorization: Bearer 10 11 12 13 14 15 16 17 18 19 20 21 22 23 24 25 26 27 28 29 30 31 32 33 34 35 36 37 38 39 40 50 KEY-ACME / X-Copy: KEY-ACME | no tenant |
 
   # Guards against a change for fleets without workspaces.
   Scenario: api keys: Without workspaces both headers pass
@@ -97,3 +98,4 @@
   # and against a decoding that keeps the event loop to its end.
   Scenario: api keys: Large configurations are decoded in steps and in order
     Then api keys: large and small versions that arrive together are put in force in order, and other tasks run meanwhile
+    And api keys: of 20 large versions that arrive together the last is in force at the end, and those left out are logged
--- a/features/steps/api_keys_steps.py
+++ b/features/steps/api_keys_steps.py
@@ -292,18 +292,36 @@
 )
 def step_queue(context):
     many = [workspace(f"w{number}", f"KEY-{number}") for number in range(3000)]
-    view = make_view(SystemClock())
-    in_force = []
-    view.on_configuration.append(lambda found: in_force.append(found.version))
-
-    async def scenario():
-        values = [
+    view, in_force, turns = put_in_force(
+        [
             encode(1, [ACME]),
             encode(2, many),
             encode(3, [OTRA]),
             b"{" + b" " * 100_000,
             encode(4, many),
         ]
+    )
+    assert in_force == [1, 2, 3, 4], in_force
+    assert turns > 20, turns
+    assert len(view.configuration.workspaces) == len(many)
+
+
+def put_in_force(values):
+    """Apply values that arrive together.
+
+    Returns
+    -------
+    view : FleetView
+    in_force : list of int
+        Versions in the order in which they came into force.
+    turns : int
+        How often another task ran until the end.
+    """
+    view = make_view(SystemClock())
+    in_force = []
+    view.on_configuration.append(lambda found: in_force.append(found.version))
+
+    async def scenario():
         for revision, value in enumerate(values, 1):
             view.apply([StoreItem(documents.CONFIGURATION_KEY, revision, value)])
         assert in_force == [1], in_force
@@ -313,7 +331,23 @@
             await asyncio.sleep(0)
         return turns
 
-    turns = asyncio.run(scenario())
-    assert in_force == [1, 2, 3, 4], in_force
-    assert turns > 20, turns
-    assert len(view.configuration.workspaces) == len(many)
+    return view, in_force, asyncio.run(scenario())
+
+
+@then(
+    "api keys: of {count:d} large versions that arrive together the last is in force "
+    "at the end, and those left out are logged"
+)
+def step_skipped(context, count):
+    many = [workspace(f"w{number}", f"KEY-{number}") for number in range(1200)]
+    records = []
+    add_destinations(records.append)
+    try:
+        values = [encode(version, many) for version in range(1, count + 1)]
+        _, in_force, _ = put_in_force(values)
+    finally:
+        remove_destination(records.append)
+    skipped = [record for record in records if record.get("event") == 682]
+    assert in_force == sorted(in_force) and in_force[-1] == count, in_force
+    assert len(in_force) + len(skipped) == count, (in_force, skipped)
+    assert skipped
--- a/oleanderroute/entry/credentials.py
+++ b/oleanderroute/entry/credentials.py
@@ -17,6 +17,10 @@
 )
 # Characters around a credential in a malformed header.
 SEPARATORS = b",;\"'"
+# With more words than a Digest header has, any text counts as a credential, so that a
+# header of thousands of words does not cost as many searches.
+MAX_WORDS = 32
+EVERYTHING = b""
 HIDDEN = "(hidden)"
 
 
@@ -32,7 +36,7 @@
     for name, value in headers:
         if name != AUTHORIZATION:
             continue
-        words = value.split()
+        words = value.split(None, MAX_WORDS + 1)
         if words and words[0].lower() in SCHEMES:
             del words[0]
         for word in words:
@@ -41,6 +45,8 @@
             bare = word.strip(SEPARATORS)
             if bare and bare != word:
                 found.append(bare)
+        if len(found) > MAX_WORDS:
+            return [EVERYTHING]
     return found
 
 
@@ -54,14 +60,15 @@
 
 
 def hide_credentials(text, headers):
-    """Return a text for the log without the credentials of a request.
+    """Return a text for the log, or `HIDDEN` if it contains a credential of a request.
 
     Parameters
     ----------
     text : str
     headers : list of tuple of bytes
     """
-    for credential in sorted(credentials_of(headers), key=len, reverse=True):
+    for credential in credentials_of(headers):
         for encoding in ("latin-1", "utf-8"):
-            text = text.replace(credential.decode(encoding, "replace"), HIDDEN)
+            if credential.decode(encoding, "replace") in text:
+                return HIDDEN
     return text
