Answer 503 to an unknown key while a newer configuration is decoded

A large configuration takes some 50 ms to decode in steps. A key that it adds was denied with 401 meanwhile, although the host had already received it. Such a request is now answered key-uncertain.

--- a/features/api_keys.feature
+++ b/features/api_keys.feature
@@ -74,6 +74,7 @@
   # Guards against a denial by a host that may have missed the newest keys.
   Scenario: api keys: A host without news of the store does not deny an unknown key
     Then api keys: 2.7 s after the last confirmation an unknown key gets "503 key-uncertain", no key "401 key-missing" and a known one is served
+    And api keys: while a newer configuration is decoded an unknown key gets "key-uncertain"
 
   # Guards against a send under a key that was taken away after the request was read.
   Scenario Outline: api keys: A <kind> request meets "<end>" while its key <change>
--- a/features/steps/api_keys_steps.py
+++ b/features/steps/api_keys_steps.py
@@ -243,6 +243,28 @@
     assert found == [unknown, missing, "200 answered"], found
 
 
+@then(
+    'api keys: while a newer configuration is decoded an unknown key gets "{uncertain}"'
+)
+def step_pending(context, uncertain):
+    host = KeyHost([ACME])
+    many = [workspace(f"w{number}", f"KEY-{number}") for number in range(1200)]
+
+    def reason():
+        headers = [(b"authorization", b"Bearer KEY-7")]
+        found = host.proxy.api_keys.check(headers, host.view.configuration.routes[0])
+        return found.reason and found.reason.value
+
+    async def scenario():
+        found = [reason()]
+        host.configure(many)
+        found.append(reason())
+        await host.view.configuration_queue.task
+        return [*found, reason()]
+
+    assert asyncio.run(scenario()) == ["key-unknown", uncertain, None]
+
+
 @then(
     'api keys: a {kind:w} request meets "{end}" while its key {change}: {result} after '
     "{sends:d} sends"
--- a/oleanderroute/host/api_keys.py
+++ b/oleanderroute/host/api_keys.py
@@ -74,7 +74,8 @@
         """Return why a request without a known key is refused."""
         if key is None:
             return HostReason.KEY_MISSING
-        if self.view.is_replica_current(self.clock.now()):
+        is_current = self.view.is_replica_current(self.clock.now())
+        if is_current and not self.view.configuration_queue.is_busy:
             return HostReason.KEY_UNKNOWN
         # The key may be newer than the configuration of this host.
         return HostReason.KEY_UNCERTAIN
--- a/oleanderroute/host/configuration_queue.py
+++ b/oleanderroute/host/configuration_queue.py
@@ -41,6 +41,11 @@
         self.task = None
         self.is_first = True
 
+    @property
+    def is_busy(self):
+        """Whether a value that has arrived is not decoded yet."""
+        return self.task is not None
+
     def submit(self, item, source):
         """Decode a value of the key, or its removal, after all earlier ones."""
         if self.task is None and not self.must_step(item):
