--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -7,7 +7,12 @@
 from ..decisions.fingerprint import BODY_HEAD_BYTES
 from ..decisions.health import Finding
 from ..decisions.restrictions import parse_pause_s
-from ..entry.messages import ForwardedBody, OutgoingRequest
+from ..entry.messages import (
+    BodyTooLarge,
+    ForwardedBody,
+    MemoryPressure,
+    OutgoingRequest,
+)
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import (
     BetweenBytesTimeout,
@@ -104,7 +109,8 @@
         )
         try:
             outcome = await self.run_exchange(exchange, target, now)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, BodyTooLarge, MemoryPressure):
+            # Also if the body was given up midway: the target has a free slot again.
             record.result = SendResult.CANCELLED
             self.reporter.publish(target, Finding.ENDED, record)
             raise
