Tests of released bodies, unread answers and ends of sends given up

Cause: the release of a streamed body, the time limit of an unread answer and the published end of a send whose body is given up had no test.

Change: four scenarios in features/memory_budget.feature, without a network.

--- a/features/memory_budget.feature
+++ b/features/memory_budget.feature
@@ -38,3 +38,21 @@
       | 152    | 1535  | 75     | 584         |
       | 552    | 8192  | 375    | 3497        |
       | 30     | 100   | 8      | 14          |
+
+  # Guards against a body that is sent again without its start, and against memory that
+  # is kept for a body that can't be sent again.
+  Scenario: memory budget: A streamed body is released as it is sent, and whole until then
+    Then memory budget: a streamed body is whole at its first read and released after it
+
+  # Guards against part of an answer that passes for the whole one.
+  Scenario: memory budget: An unread answer ends at its time limit, with an error
+    Then memory budget: a streamed answer that nobody reads is abandoned and then raises
+
+  # Guards against slots that other hosts count as taken for good.
+  Scenario Outline: memory budget: The end of a send is told if its body is <given up>
+    Then memory budget: a send whose body is "<given up>" publishes its end
+
+    Examples:
+      | given up    |
+      | too large   |
+      | refused     |
--- a/features/steps/memory_budget_steps.py
+++ b/features/steps/memory_budget_steps.py
@@ -1,13 +1,29 @@
 """Steps for the memory budget, without a network."""
 
+import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from features.steps.host_sends_steps import make_exchange, make_sender
+from oleanderroute.clock import SystemClock
+from oleanderroute.decisions.health import Finding
 from oleanderroute.decisions.memory_budget import MemoryBudget, Phase
+from oleanderroute.entry.answer_stream import BufferedStream
+from oleanderroute.entry.memory_guard import MemoryGuard, RequestCharge
+from oleanderroute.entry.messages import (
+    BodyPrefix,
+    BodyTooLarge,
+    BytesBody,
+    ForwardedBody,
+    MemoryPressure,
+)
+from oleanderroute.errors import AnswerTimeout
+from oleanderroute.host.limited_stream import LimitedStream
 from oleanderroute.host.model import HostSettings
 from oleanderroute.host.resource_limits import ResourceLimits
 
@@ -222,3 +238,75 @@
     if files:
         total = found.connections + found.excess_connections
         assert total + limits.target_connections + 200 <= max(files, 232)
+
+
+@then("memory budget: a streamed body is whole at its first read and released after it")
+def step_streamed(context):
+    budget = MemoryBudget(10 * MIB)
+    guard = MemoryGuard(budget, SystemClock(), None, None)
+    account = guard.open(None)
+    guard.begin_body(account)
+    other_bytes = budget.held_bytes
+    guard.receive_body(account, 300)
+    prefix = BodyPrefix(b"a" * 200, False)
+    rest = BytesBody(b"b" * 100)
+    rest.charge = RequestCharge(guard, account)
+
+    async def read_twice():
+        # The first send reaches no target.
+        ForwardedBody(prefix, rest, 50)
+        body = ForwardedBody(prefix, rest, 50)
+        assert await body.read_chunk() == b"a" * 200
+        assert prefix.content == b"a" * 50
+        assert budget.held_bytes == other_bytes + 300
+        assert await body.read_chunk() == b"b" * 100
+        assert budget.held_bytes == other_bytes + 100
+        assert await body.read_chunk() == b""
+        assert budget.held_bytes == other_bytes
+
+    asyncio.run(read_twice())
+
+
+@then("memory budget: a streamed answer that nobody reads is abandoned and then raises")
+def step_unread(context):
+    abandoned = []
+    connection = SimpleNamespace(
+        abandon=lambda: abandoned.append(True), pause_answer=lambda: None
+    )
+
+    async def leave_unread():
+        clock = SystemClock()
+        source = BufferedStream(connection, [b"x" * KIB])
+        stream = LimitedStream(source, clock.now() + 0.05, clock, lambda size: None)
+        await asyncio.sleep(0.1)
+        assert abandoned == [True]
+        try:
+            await anext(stream)
+        except AnswerTimeout:
+            return
+        raise AssertionError("the answer passes for a complete one")
+
+    asyncio.run(leave_unread())
+
+
+@then('memory budget: a send whose body is "{given_up}" publishes its end')
+def step_given_up(context, given_up):
+    error = BodyTooLarge(10) if given_up == "too large" else MemoryPressure()
+    published = []
+
+    async def fail(*arguments):
+        raise error
+
+    async def send():
+        forwarder = make_sender(SimpleNamespace(exchange=fail, has_idle=lambda id: 0))
+        forwarder.target_sender.reporter.publish = lambda target, finding, record: (
+            published.append(finding)
+        )
+        try:
+            await forwarder.run(make_exchange("once"))
+        except type(error):
+            return
+        raise AssertionError("the error is lost")
+
+    asyncio.run(send())
+    assert published == [Finding.ENDED], published
