Rate limits of workspaces: replicated buckets, announcements, contact reports

Cause: a workspace's limit holds in sum over all hosts, and no host decided it. Change: decisions/rate_limit.py (bucket, shares, pacing), host/rate_limits.py, host/contact.py (hub reports), hooks in the request path and the gossip. ChangeLog and the application of findings move into modules of their own.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -84,6 +84,10 @@
   13: optional list<ItemPatch> patches
   // Of the sender's replica at revision; hosts at one revision have the same.
   14: optional i64 digest
+  // From a hub, for the rate limits of workspaces: the failure domains whose
+  // announcements reach it, and the hosts in them that it does not hear.
+  15: optional list<string> reached
+  16: optional list<string> silent
 }
 
 struct CopyRequest {
--- a/oleanderroute/decisions/send_counts.py
+++ b/oleanderroute/decisions/send_counts.py
@@ -72,3 +72,12 @@
         amount = process.advance(kind, number)
         self.missed += max(0, amount - 1)
         return amount
+
+    def forget(self, kind):
+        """Forget the numbers of a kind.
+
+        Numbers that are seen for the first time then count one send each.
+        """
+        for process in self.processes.values():
+            if process.numbers.pop(kind, None) is not None:
+                process.is_complete = False
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -662,3 +662,25 @@
     Level.INFO,
     ("request", "path", "reason", "version", "news_age_s", "left_out"),
 )
+RATE_LIMITS_COUNTED = define(
+    690,
+    "rate_limits_counted",
+    "Requests of workspaces with a rate limit since the last line.",
+    Level.INFO,
+    ("admitted", "refused", "returned", "workspaces", "most_refused", "lost", "known"),
+)
+RATE_LIMIT_CONTACT_CHANGED = define(
+    691,
+    "rate_limit_contact_changed",
+    "Announcements of other hosts stopped or resumed; a lost host's share is not used.",
+    Level.INFO,
+    ("lost", "known"),
+)
+RATE_LIMIT_PAUSED = define(
+    692,
+    "rate_limit_paused",
+    "The process did not run for a time; its tokens of rate limits were dropped.",
+    Level.WARNING,
+    ("gap_s",),
+    "Find out what stopped the process, or give the host more processor time.",
+)
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -83,6 +83,9 @@
         seconds.
     workspace : WorkspacePolicy or None
         Workspace of the request's API key.
+    admitted_at : float or None
+        When the request was admitted under the rate limit of its workspace, in
+        monotonic seconds.
     """
 
     request: CallerRequest
@@ -101,6 +104,7 @@
     body_consumed: bool = False
     wait_s: float = 0.0
     workspace: WorkspacePolicy | None = None
+    admitted_at: float | None = None
 
     @property
     def priority(self):
--- a/oleanderroute/host/findings.py
+++ b/oleanderroute/host/findings.py
@@ -46,13 +46,15 @@
             latency_s = record.elapsed_s
         self.publish(target, finding, record, latency_s, load)
 
-    def report_start(self, target, record, is_repeat, is_counted):
+    def report_start(self, target, record, is_repeat, is_counted, announcement=None):
         """Count a send that begins and publish its start.
 
         Parameters
         ----------
         is_counted : bool
             Whether the send counts for the limit on repeats.
+        announcement : tuple of (Workspace, int), optional
+            Of the first send of a request of a workspace with a rate limit.
         """
         service = target.entry.service
         if is_counted:
@@ -66,6 +68,7 @@
             record.started_at,
             record.number,
             count=self.view.allowance_of(service).own_totals[is_repeat],
+            announcement=announcement,
         )
 
     def report_leaving(self, entry):
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -20,6 +20,8 @@
 from ..decisions.send_counts import RemoteSendCounts
 from ..decisions.standing_queue import StandingQueue
 from ..errors import DocumentError
+from .change_log import ChangeLog
+from .rate_limits import RateLimits
 from .routes import PrefixRoutes
 
 # A longer gap between two confirmations by the store is taken for an outage of the
@@ -30,34 +32,11 @@
 TARGET_RETURN_TIMEOUT_S = 2.2
 # A host whose key was removed stays in use if it was last seen within this time.
 LAPSED_HOST_TIMEOUT_S = 3.0
-# Log lines about targets for the changes of the store that arrive together.
-MAX_CHANGE_LINES = 20
 # Source of changes in log lines, if they come from no other host.
 STORE = "store"
 NOT_RETURNED = "not registered again after an outage"
 
 
-class ChangeLog:
-    """Limits the log lines about targets for the changes of one update.
-
-    A host that starts learns of all targets at once.
-    """
-
-    def __init__(self):
-        self.lines = 0
-
-    def may_log(self):
-        """Tell whether the update may have another line; count it if not."""
-        self.lines += 1
-        return self.lines <= MAX_CHANGE_LINES
-
-    def finish(self):
-        """End an update; tell how many lines were left out."""
-        if self.lines > MAX_CHANGE_LINES:
-            events.TARGET_CHANGES_LEFT_OUT.log(left_out=self.lines - MAX_CHANGE_LINES)
-        self.lines = 0
-
-
 class FleetView:
     """State of one host, kept up to date by the store's items and by findings.
 
@@ -97,6 +76,7 @@
         self.floors = {}
         self.remote_counts = RemoteSendCounts()
         self.restrictions = TargetRestrictions()
+        self.rate_limits = RateLimits(self)
         self.change_log = ChangeLog()
         # Crossings of a gray probability of 0.5 since the start.
         self.belief_changes = 0
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -14,12 +14,13 @@
 from ..errors import MessageRejected, PatchBaseMissing
 from ..peer.codec import decode_message, encode_message
 from ..peer.gen.oleander_gossip.ttypes import Gossip, Observation
-from .gossip_checks import MAX_AGE_MS, check_gossip, check_observation
+from .contact import MEMBER_HEARTBEAT_S, ContactTracker
+from .gossip_checks import MAX_AGE_MS, check_gossip
 from .membership import GossipMembership
+from .observations import ObservationReceiver
 from .outbox import URGENT, Outbox, TrafficCount
 from .patches import PatchMaker, restore_items
 
-FINDINGS = {int(finding): finding for finding in Finding}
 # Delays of batches of findings, at the host that made them and, at the least, at a hub.
 BATCH_DELAY_S = 0.01
 HUB_BATCH_DELAY_S = 0.02
@@ -87,8 +88,11 @@
         self.rejection_logged_at = float("-inf")
         self.sent = TrafficCount()
         self.received = TrafficCount()
-        # The size is bounded, as the field has 16 bits.
-        self.unknown_kinds = set()
+        self.receiver = ObservationReceiver(
+            view, self.membership, self.incarnation, self.reject
+        )
+        self.contact = ContactTracker(view, self.membership)
+        view.rate_limits.contact_tracker = self.contact
         self.on_newer_revision = None
         self.on_difference = None
 
@@ -123,18 +127,23 @@
         """Choose roles, and send a heartbeat if nothing was sent for an interval."""
         while True:
             self.membership.choose_roles()
-            interval_s = (
-                HUB_HEARTBEAT_INTERVAL_S
-                if self.membership.is_hub
-                else HEARTBEAT_INTERVAL_S
-            )
+            interval_s = HEARTBEAT_INTERVAL_S
+            if self.membership.is_hub:
+                interval_s = HUB_HEARTBEAT_INTERVAL_S
+            elif self.contact.is_needed:
+                interval_s = MEMBER_HEARTBEAT_S
             await asyncio.sleep(
                 interval_s if self.membership.is_hub else ROLE_CHECK_INTERVAL_S
             )
             now = self.clock.now()
             is_silent = now - self.sent_at >= interval_s
-            if self.membership.is_hub and (is_silent or self.is_live_list_due(now)):
-                self.flush_to_domain(is_heartbeat=True)
+            if self.membership.is_hub:
+                if (
+                    is_silent
+                    or self.is_live_list_due(now)
+                    or self.contact.is_report_due(now)
+                ):
+                    self.flush_to_domain(is_heartbeat=True)
             elif is_silent:
                 self.flush_to_own_hub(is_heartbeat=True)
 
@@ -164,6 +173,7 @@
         latency_s=None,
         load=None,
         count=None,
+        announcement=None,
     ):
         """Queue a finding for the other hosts.
 
@@ -172,6 +182,9 @@
         count : int, optional
             At the start of a send, how many first sends, or resends, to the service
             this process has begun.
+        announcement : tuple of (Workspace, int), optional
+            At the first send of a request of a workspace with a rate limit, how many
+            such requests this process has sent.
         """
         age_ms = int((self.clock.now() - sent_at) * 1000)
         observation = Observation(
@@ -185,6 +198,8 @@
         if count is not None:
             observation.incarnation = self.incarnation
             observation.count = count
+        if announcement is not None:
+            observation.workspace, observation.workspace_count = announcement
         if load is not None:
             observation.in_system = min(load[0], 30_000)
             observation.slots = min(load[1], 30_000)
@@ -273,6 +288,7 @@
             outbox = Outbox() if self.link_wait_s() > 0.0 else self.domain_outbox
             message = self.make_message(outbox, to_hub=False)
             self.add_live_list(message)
+            self.add_contact_report(message)
             self.send(message, [*self.membership.other_hubs(), *members])
         while not self.domain_outbox.is_empty():
             if self.link_wait_s() > 0.0:
@@ -375,6 +391,12 @@
         message.heard = self.membership.live_host_ids()
         message.digest = self.view.replica.digest()
 
+    def add_contact_report(self, message):
+        """Add to a hub's message which hosts' announcements reach it, if needed."""
+        if self.contact.is_needed:
+            now = self.clock.now()
+            message.reached, message.silent = self.contact.make_report(now)
+
     def send(self, message, hosts):
         """Send a datagram to each of ``hosts``."""
         if self.transport is None:
@@ -403,7 +425,9 @@
             return
         now = self.clock.now()
         self.membership.record_datagram(message, now)
-        self.apply_observations(message, now)
+        self.receiver.apply_all(message, now)
+        if message.reached is not None:
+            self.contact.record(message.host_id, message.reached, message.silent, now)
         for notice in message.crashes or ():
             self.crashes.apply_notice(notice)
         if message.to_hub:
@@ -441,61 +465,6 @@
             source=source, reason=str(error), rejected=self.rejected
         )
 
-    def apply_observations(self, message, now):
-        """Apply the findings of a message and leave out those out of range."""
-        accepted = []
-        for observation in message.observations or ():
-            if observation.host_id is None:
-                observation.host_id = message.host_id
-            try:
-                check_observation(observation)
-            except MessageRejected as error:
-                self.reject(observation.host_id, error)
-                continue
-            accepted.append(observation)
-            self.apply_observation(observation, now)
-        message.observations = accepted
-
-    def apply_observation(self, observation, now):
-        """Apply a finding of another host."""
-        own_id = self.settings.host_id
-        finding = FINDINGS.get(observation.kind)
-        if finding is None:
-            self.log_unknown_kind(observation)
-            return
-        if observation.host_id == own_id:
-            return
-        if finding is Finding.LEAVING:
-            if observation.target_started_ms is not None:
-                self.view.record_leaving(
-                    observation.target_id,
-                    observation.target_started_ms,
-                    observation.host_id,
-                )
-            return
-        latency_s = None
-        if observation.latency_ms is not None:
-            latency_s = observation.latency_ms / 1000
-        load = None
-        if observation.in_system is not None and observation.slots is not None:
-            load = (observation.in_system, observation.slots)
-        sent_at = now - observation.age_ms / 1000
-        sender = (observation.host_id, observation.send_number)
-        count = None
-        if observation.incarnation is not None and observation.count is not None:
-            count = (observation.incarnation, observation.count)
-        self.membership.last_seen_at[observation.host_id] = now
-        self.view.observe(
-            observation.target_id, finding, sent_at, sender, latency_s, load, count
-        )
-
-    def log_unknown_kind(self, observation):
-        """Log the first finding of a kind that this version does not know."""
-        if observation.kind in self.unknown_kinds:
-            return
-        self.unknown_kinds.add(observation.kind)
-        events.FINDING_UNKNOWN.log(sender=observation.host_id, kind=observation.kind)
-
     def apply_changes(self, message):
         """Apply changes of the store, or request those that are missing."""
         replica = self.view.replica
--- a/oleanderroute/host/gossip_checks.py
+++ b/oleanderroute/host/gossip_checks.py
@@ -9,6 +9,10 @@
 
 # Ages and latencies beyond this are not sent.
 MAX_AGE_MS = 60_000
+# Of a workspace's name in an announcement; a datagram holds 24 of them.
+MAX_WORKSPACE_BYTES = 253
+# Failure domains, or hosts, in the report of a hub.
+MAX_LISTED = 1000
 
 
 def check_gossip(message):
@@ -24,6 +28,8 @@
     check_range("confirmed_ms", message.confirmed_ms, MAX_AGE_MS)
     check_range("changes_after", message.changes_after, message.revision)
     check_range("digest", message.digest)
+    check_range("number of reached domains", len(message.reached or ()), MAX_LISTED)
+    check_range("number of silent hosts", len(message.silent or ()), MAX_LISTED)
     for change in (*(message.changes or ()), *(message.patches or ())):
         check_required(change)
         # It may be above the message's: a listing is read in pages.
@@ -51,11 +57,21 @@
         and observation.send_number >= 0
         and (observation.incarnation or 0) >= 0
         and (observation.count or 0) >= 0
+        and (observation.workspace is None or is_announcement(observation))
     ):
         return
     raise MessageRejected(f"out of range: {observation!r}")
 
 
+def is_announcement(observation):
+    """Tell whether the fields about a workspace are complete and in range."""
+    return (
+        0 < len(observation.workspace.encode()) <= MAX_WORKSPACE_BYTES
+        and (observation.workspace_count or 0) > 0
+        and observation.incarnation is not None
+    )
+
+
 def check_required(structure):
     """Reject a nested structure without one of its required fields."""
     try:
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -65,6 +65,16 @@
             "Sends in the window of the repeat limit, by service, kind and sender.",
             registry=registry,
         )
+        self.rate_limited = Gauge(
+            "oleander_host_rate_limited_requests",
+            "Requests of workspaces with a rate limit since the start, by result.",
+            registry=registry,
+        )
+        self.rate_limit_lost_hosts = Gauge(
+            "oleander_host_rate_limit_lost_hosts",
+            "Hosts whose announcements for the rate limits do not arrive here.",
+            registry=registry,
+        )
 
     def request_finished(self, exchange, answer, elapsed_s):
         """Count a request and its sends."""
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -220,6 +220,7 @@
             self.view.remove_unreturned_targets(now)
             self.view.remove_expired_hosts(now)
             self.metrics.log_lines_dropped.set({}, self.sink.dropped)
+            self.view.rate_limits.update(now)
             self.summary.update(now)
             self.follower.finish_load("host")
             if file_signature(self.settings_path) != self.settings_signature:
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -174,6 +174,9 @@
         UDP port for gossip.
     link_mbps : float
         Bandwidth of its link in Mbit/s; 0 if it is not known.
+    announces_workspaces : bool
+        Whether it announces the requests of workspaces that it sends. Hosts of an
+        earlier version do not.
     """
 
     host_id: HostId
@@ -182,6 +185,7 @@
     gossip_port: int
     failure_domain: FailureDomain
     link_mbps: float = 0.0
+    announces_workspaces: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderroute/host/outbox.py
+++ b/oleanderroute/host/outbox.py
@@ -44,8 +44,9 @@
     def reduce(self):
         """Keep what the receivers need most, in half of the queue.
 
-        Of the starts of a host's sends the newest tells how many there were. Starts
-        and urgent findings take turns, so that neither holds up the other.
+        Of the starts of a host's sends the newest tells how many there were, to a
+        service and of a workspace. Starts and urgent findings take turns, so that
+        neither holds up the other.
         """
         starts = {}
         urgent = {}
@@ -54,7 +55,8 @@
             kind = observation.kind
             target_id = observation.target_id
             if kind in START_FINDINGS:
-                key = (kind, observation.host_id, self.service_of(target_id))
+                service = self.service_of(target_id)
+                key = (kind, observation.host_id, service, observation.workspace)
                 replace_last(starts, key, observation)
             elif kind in URGENT:
                 replace_last(urgent, target_id, observation)
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -82,13 +82,19 @@
             answer = refusal_answer(HostReason.STOPPING, retry_after_s=0.0)
             self.request_log.finished(exchange, answer)
             return answer
+        answer = self.view.rate_limits.admit(exchange)
+        if answer is not None:
+            self.request_log.finished(exchange, answer)
+            return answer
         try:
             request.body.limit(self.view.configuration.bounds.body_bytes)
             if request.body.length != 0:
                 exchange.body_prefix = await read_body_prefix(
                     request.body, BUFFERED_BODY_BYTES
                 )
-            answer = await self.run(exchange)
+            answer = self.view.rate_limits.admit_again(exchange)
+            if answer is None:
+                answer = await self.run(exchange)
         except BodyTooLarge:
             answer = refusal_answer(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
         except CallerDisconnected:
@@ -100,6 +106,8 @@
                 reason=format_failure(error),
             )
             answer = refusal_answer(HostReason.INTERNAL, True)
+        finally:
+            self.view.rate_limits.give_back(exchange)
         self.request_log.finished(exchange, answer)
         return answer
 
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -3,6 +3,7 @@
 from .. import events
 
 SUMMARY_INTERVAL_S = 5.0
+RATE_LIMIT_RESULTS = ("admitted", "refused", "returned")
 
 
 class SummaryLog:
@@ -23,6 +24,7 @@
         self.sent = (0, 0)
         self.received = (0, 0)
         self.belief_changes = 0
+        self.rate_limits = (0, 0, 0)
 
     def update(self, now):
         """Write the lines and set the metrics if the interval has passed."""
@@ -31,6 +33,7 @@
         self.due_at = now + SUMMARY_INTERVAL_S
         self.summarize_gossip()
         self.summarize_beliefs()
+        self.summarize_rate_limits()
         for service, allowance in self.view.allowances.items():
             self.summarize_repeats(service, allowance, now)
 
@@ -60,6 +63,28 @@
         )
         self.belief_changes = changes
 
+    def summarize_rate_limits(self):
+        """Log the admissions under the rate limits of workspaces, if there were any."""
+        limits = self.view.rate_limits
+        totals = (limits.admitted, limits.refused, limits.returned)
+        contact = limits.limiter.contact
+        for result, total in zip(RATE_LIMIT_RESULTS, totals, strict=True):
+            self.metrics.rate_limited.set({"result": result}, total)
+        self.metrics.rate_limit_lost_hosts.set({}, len(contact.lost))
+        if totals == self.rate_limits:
+            return
+        admitted, refused, returned = self.rate_limits
+        self.rate_limits = totals
+        events.RATE_LIMITS_COUNTED.log(
+            admitted=limits.admitted - admitted,
+            refused=limits.refused - refused,
+            returned=limits.returned - returned,
+            workspaces=len(limits.limiter.buckets),
+            most_refused=limits.pop_refused(),
+            lost=len(contact.lost),
+            known=contact.known_count,
+        )
+
     def summarize_repeats(self, service, allowance, now):
         """Log how many sends to a service are counted in the window."""
         live = self.gossip.membership.live_host_count()
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -90,10 +90,13 @@
         is_repeat = exchange.delivered_sends > 0
         # A request is counted once, however many targets could not be reached.
         is_counted = is_repeat or not exchange.sends
+        announcement = None
+        if not exchange.sends:
+            announcement = self.view.rate_limits.count_first_send(exchange)
         exchange.sends.append(record)
         target.own_in_flight += 1
         target.last_own_send_at = now
-        self.reporter.report_start(target, record, is_repeat, is_counted)
+        self.reporter.report_start(target, record, is_repeat, is_counted, announcement)
         overdue = OverdueReporter(
             self.reporter,
             latencies,
--- a/oleanderroute/peer/gen/oleander_gossip/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_gossip/ttypes.py
@@ -591,6 +591,8 @@
      - watcher
      - patches
      - digest
+     - reached
+     - silent
 
     """
 
@@ -609,10 +611,12 @@
         'watcher',
         'patches',
         'digest',
+        'reached',
+        'silent',
     )
 
 
-    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None, digest=None,):
+    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None, digest=None, reached=None, silent=None,):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.to_hub = to_hub
@@ -627,6 +631,8 @@
         self.watcher = watcher
         self.patches = patches
         self.digest = digest
+        self.reached = reached
+        self.silent = silent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -736,6 +742,26 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.reached = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reached.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.silent = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -769,15 +795,15 @@
         if self.observations is not None:
             oprot.writeFieldBegin('observations', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.observations))
-            for iter37 in self.observations:
-                iter37.write(oprot)
+            for iter49 in self.observations:
+                iter49.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter38 in self.crashes:
-                iter38.write(oprot)
+            for iter50 in self.crashes:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes_after is not None:
@@ -787,15 +813,15 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter39 in self.changes:
-                iter39.write(oprot)
+            for iter51 in self.changes:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter40 in self.heard:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter52 in self.heard:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_lost is not None:
@@ -809,14 +835,28 @@
         if self.patches is not None:
             oprot.writeFieldBegin('patches', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.patches))
-            for iter41 in self.patches:
-                iter41.write(oprot)
+            for iter53 in self.patches:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 14)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.reached is not None:
+            oprot.writeFieldBegin('reached', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRING, len(self.reached))
+            for iter54 in self.reached:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRING, len(self.silent))
+            for iter55 in self.silent:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -893,11 +933,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.bases = {}
-                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
-                    for _i46 in range(_size42):
-                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val48 = iprot.readI64()
-                        self.bases[_key47] = _val48
+                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
+                    for _i60 in range(_size56):
+                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val62 = iprot.readI64()
+                        self.bases[_key61] = _val62
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -922,9 +962,9 @@
         if self.bases is not None:
             oprot.writeFieldBegin('bases', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.bases))
-            for kiter49, viter50 in self.bases.items():
-                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
-                oprot.writeI64(viter50)
+            for kiter63, viter64 in self.bases.items():
+                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
+                oprot.writeI64(viter64)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1005,22 +1045,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = ItemChange()
-                        _elem56.read(iprot)
-                        self.items.append(_elem56)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = ItemChange()
+                        _elem70.read(iprot)
+                        self.items.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.patches = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = ItemPatch()
-                        _elem62.read(iprot)
-                        self.patches.append(_elem62)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = ItemPatch()
+                        _elem76.read(iprot)
+                        self.patches.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1050,15 +1090,15 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter63 in self.items:
-                iter63.write(oprot)
+            for iter77 in self.items:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patches is not None:
             oprot.writeFieldBegin('patches', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.patches))
-            for iter64 in self.patches:
-                iter64.write(oprot)
+            for iter78 in self.patches:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.packed is not None:
@@ -1152,6 +1192,8 @@
     (12, TType.STRING, 'watcher', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'patches', (TType.STRUCT, [ItemPatch, None], False), None, ),  # 13
     (14, TType.I64, 'digest', None, None, ),  # 14
+    (15, TType.LIST, 'reached', (TType.STRING, 'UTF8', False), None, ),  # 15
+    (16, TType.LIST, 'silent', (TType.STRING, 'UTF8', False), None, ),  # 16
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -283,6 +283,7 @@
         ),
         # Hosts of an older version do not write it.
         link_mbps=float(optional_positive_number(document, "link_mbps", 0.0, key)),
+        announces_workspaces=document.get("announces_workspaces") is True,
         **ports,
     )
 
@@ -294,6 +295,7 @@
         "control_port": settings.control_port,
         "gossip_port": settings.gossip_port,
         "failure_domain": settings.failure_domain,
+        "announces_workspaces": True,
     }
     if settings.link_mbps > 0.0:
         document["link_mbps"] = settings.link_mbps
