Rate limits: differential test in virtual time, tests of the hooks

Cause: buckets that appear with the first request refused it, and small limits were refused at 0.9 of the limit; datagrams with workspace names could exceed a frame. Change: a bucket holds what it earned since all hosts were in contact; half of the tolerated excess is capacity; a batch of findings is bounded by bytes.

--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -589,6 +589,8 @@
             hosts_changes=0,
             last_seen_at={},
             replica=StoreReplica(),
+            configuration=None,
+            rate_limits=SimpleNamespace(),
             record_confirmation=lambda at: None,
             observe=lambda target, finding, sent_at, sender, *rest: self.known[
                 host.host_id
@@ -824,6 +826,13 @@
 
 @then("host decisions: a full datagram of starts takes at most {most:d} bytes")
 def step_full_datagram(context, most):
+    # None, a usual and the longest name of a workspace in announcements.
+    for name in (None, "w" * 20, "w" * 63, "w" * 253):
+        size = full_datagram_size(name)
+        assert size <= most, (name, size)
+
+
+def full_datagram_size(workspace):
     task = InMemoryFleet(4, 2).tasks["h0"]
     outbox = Outbox()
     for number in range(100):
@@ -836,10 +845,13 @@
                 host_id="edge-floripa-a-15",
                 incarnation=32_767,
                 count=100_000 + number,
+                workspace=workspace,
+                workspace_count=workspace and 100_000 + number,
             )
         )
-    size = len(encode_message(task.make_message(outbox, to_hub=False)))
-    assert size <= most, size
+    message = task.make_message(outbox, to_hub=False)
+    assert message.observations
+    return len(encode_message(message))
 
 
 @then("host decisions: a hub whose link is overdrawn holds findings and sends a notice")
--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -127,6 +127,7 @@
         floor_of=lambda service: floor,
         allowance_of=lambda service: allowance,
         host_count=1,
+        rate_limits=SimpleNamespace(count_first_send=lambda exchange: None),
     )
     reporter = SimpleNamespace(
         publish=lambda *findings: None,
@@ -274,5 +275,5 @@
     forwarder.target_sender.reporter.report_start = lambda *start: started.append(start)
     answer = asyncio.run(forwarder.run(make_exchange("once")))
     assert answer.status == 200 and len(started) == targets + 1, started
-    are_counted = [is_counted for _, _, _, is_counted in started]
+    are_counted = [is_counted for _, _, _, is_counted, _ in started]
     assert are_counted.count(True) == counted, are_counted
--- a/features/support/rate_limit_fleet.py
+++ b/features/support/rate_limit_fleet.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from types import SimpleNamespace
 
+from oleanderroute.decisions.rate_limit import CAPACITY_PART
 from oleanderroute.host.contact import ContactTracker
 from oleanderroute.host.model import PeerHost, WorkspacePolicy
 from oleanderroute.host.rate_limits import RateLimits
@@ -441,7 +442,9 @@
     """
     load = fleet.load
     tokens = 0.0
-    capacity = load.burst + 0.4 * (0.1 * (load.rate * WINDOW_S + load.burst) + 20.0)
+    capacity = load.burst + CAPACITY_PART * (
+        0.1 * (load.rate * WINDOW_S + load.burst) + 20.0
+    )
     updated_at = fleet.started_at
     admitted = 0
     for at in fleet.offered:
@@ -452,3 +455,79 @@
             if begin_s <= at - fleet.started_at <= end_s:
                 admitted += 1
     return admitted
+
+
+def uneven(index):
+    """Return a weight from 1 to 10."""
+    return 1.0 + (index * 7919) % 10
+
+
+def one_host(index):
+    """Return a weight that leaves all demand to one host."""
+    return 1.0 if index == 4 else 0.0
+
+
+def mostly_in(domain):
+    """Return weights that leave nearly all demand to one failure domain."""
+    return lambda index: 1.0 if index % len(DOMAINS) == domain else 0.02
+
+
+def by_domain(index, domain):
+    """Divide the hosts into three groups."""
+    return DOMAINS.index(domain)
+
+
+def two_sides(index, domain):
+    """Divide one failure domain from the others."""
+    return 0 if domain == "a" else 1
+
+
+def across_domains(index, domain):
+    """Divide each failure domain in two groups."""
+    return index // len(DOMAINS) % 2
+
+
+def troubles(hosts, rate, burst):
+    """Return what may happen to a fleet, by name, as fields of a `Load`."""
+    everybody = range(hosts)
+    return {
+        "no trouble": {},
+        "demand at one host": {"weights": one_host},
+        "moving demand": {
+            "weights": mostly_in(0),
+            "moves": ((10, mostly_in(1)), (15, one_host), (18, uneven)),
+        },
+        "lost announcements": {"loss": 0.02, "doubled": 0.02},
+        "many lost announcements": {"loss": 0.1, "doubled": 0.1},
+        "some slow links": {"slow_part": 0.2, "slow_s": 2.0},
+        "slow links": {"slow_part": 0.8, "slow_s": 2.0},
+        "two groups": {"partitions": ((8, 20, two_sides),)},
+        "three groups": {"partitions": ((8, 20, by_domain),)},
+        "groups across domains": {
+            "partitions": ((8, 14, across_domains), (18, 21, by_domain)),
+        },
+        "demand that moves in a partition": {
+            "weights": mostly_in(0),
+            "partitions": ((10, 16, by_domain),),
+            "moves": ((10, mostly_in(1)),),
+        },
+        "restart of all": {"stops": ((10, 10.3, everybody),)},
+        "stops": {
+            "stops": ((9, 14, (0, 1, 3)), (12, 15, (2,)), (16, 16.2, (4,))),
+        },
+        "pauses": {
+            "pauses": ((9, 12, (0, 4)), (14, 14.6, (3,)), (16, 19, (1, 2))),
+        },
+        "pause of all": {"pauses": ((9, 12, everybody),)},
+        "hosts that announce nothing": {"old_hosts": hosts // 2},
+        "changes of the limit": {
+            "changes": ((10, rate / 4, burst / 4), (16, rate, burst)),
+        },
+    }
+
+
+def run_trouble(name, seed, hosts, rate, burst, demand, duration_s=25.0):
+    """Run a fleet through a trouble and return the `RateFleet`."""
+    fields = {"weights": uneven, **troubles(hosts, rate, burst)[name]}
+    load = Load(hosts, rate, burst, demand, duration_s, **fields)
+    return RateFleet(load, seed).run()
--- a/oleanderroute/decisions/rate_limit.py
+++ b/oleanderroute/decisions/rate_limit.py
@@ -16,7 +16,7 @@
 # Part of the tolerated excess by which the capacity of the bucket exceeds the burst.
 # Without it, random arrivals at 0.9 of a limit without a burst would be refused. The
 # rest covers admissions that hosts make before they learn of each other's.
-CAPACITY_PART = 0.4
+CAPACITY_PART = 0.5
 # Below the tokens that the fleet earns in this time, each host keeps to its share.
 # Announcements take 30 to 60 ms, so hosts may spend the same tokens meanwhile.
 PACED_ZONE_S = 0.14
@@ -251,6 +251,11 @@
 
     # Admissions
 
+    def earn(self, passed_s):
+        """Add what was earned in a time without admissions at any host."""
+        earned = passed_s * self.rate_per_s * self.part
+        self.tokens = min(self.capacity * self.part, self.tokens + earned)
+
     def refill(self, now, heard_at=None):
         """Add what was earned since the last call.
 
@@ -434,6 +439,8 @@
         self.sent_before = {}
         self.remote_counts = RemoteSendCounts()
         self.echo = EchoCheck()
+        # Since when this host has been in contact with all that announce.
+        self.complete_since = None
 
     def bucket(self, workspace, rate_per_s, burst, window_s, now):
         """Return the bucket of a workspace with a limit."""
@@ -443,6 +450,9 @@
                 rate_per_s, burst, window_s, self.contact, self.rng, now
             )
             bucket.sent = self.sent_before.pop(workspace, 0)
+            if self.complete_since is not None:
+                # No host has announced a request of this workspace since then.
+                bucket.earn(now - self.complete_since)
             return bucket
         limit = (bucket.rate_per_s, bucket.burst, bucket.window_s)
         if limit != (rate_per_s, burst, window_s):
@@ -452,6 +462,8 @@
 
     def change_contact(self, contact, now):
         """Apply which hosts are in contact."""
+        if contact.lost or self.complete_since is None:
+            self.complete_since = now
         if contact == self.contact:
             return
         self.contact = contact
@@ -460,6 +472,7 @@
 
     def record_pause(self, now):
         """Drop the tokens that were seen before this process was paused."""
+        self.complete_since = now
         for bucket in self.buckets.values():
             bucket.record_pause(now)
 
--- a/oleanderroute/host/outbox.py
+++ b/oleanderroute/host/outbox.py
@@ -7,6 +7,9 @@
 
 # A datagram of so many observations fits in an Ethernet frame.
 MAX_OBSERVATIONS = 24
+# The largest observation, and what an announcement adds beside the workspace's name.
+OBSERVATION_BYTES = 58
+ANNOUNCEMENT_BYTES = 6
 # Observations that wait at a hub whose link can't carry more.
 MAX_QUEUED = 20 * MAX_OBSERVATIONS
 URGENT = frozenset(
@@ -74,8 +77,17 @@
 
     def pop_batch(self):
         """Remove and return all crashes and the next observations that fit."""
-        observations = self.observations[:MAX_OBSERVATIONS]
-        self.observations = self.observations[MAX_OBSERVATIONS:]
+        count = 0
+        room = MAX_OBSERVATIONS * OBSERVATION_BYTES
+        for observation in self.observations[:MAX_OBSERVATIONS]:
+            room -= OBSERVATION_BYTES
+            if observation.workspace is not None:
+                room -= len(observation.workspace.encode()) + ANNOUNCEMENT_BYTES
+            if room < 0 and count > 0:
+                break
+            count += 1
+        observations = self.observations[:count]
+        self.observations = self.observations[count:]
         crashes = self.crashes
         self.crashes = []
         return observations, crashes
--- a/oleanderroute/host/rate_limits.py
+++ b/oleanderroute/host/rate_limits.py
@@ -146,7 +146,8 @@
 
     def update(self, now):
         """Detect a pause of the process, and forget idle buckets; called regularly."""
-        if not self.limiter.buckets:
+        configuration = self.view.configuration
+        if configuration is None or not configuration.workspaces:
             self.updated_at = now
             return
         self.update_contact(now)
