--- a/oleanderroute/host/outbox.py
+++ b/oleanderroute/host/outbox.py
@@ -7,6 +7,9 @@
 
 # A datagram of so many observations fits in an Ethernet frame.
 MAX_OBSERVATIONS = 24
+# The largest observation, and what an announcement adds beside the workspace's name.
+OBSERVATION_BYTES = 58
+ANNOUNCEMENT_BYTES = 6
 # Observations that wait at a hub whose link can't carry more.
 MAX_QUEUED = 20 * MAX_OBSERVATIONS
 URGENT = frozenset(
@@ -44,8 +47,9 @@
     def reduce(self):
         """Keep what the receivers need most, in half of the queue.
 
-        Of the starts of a host's sends the newest tells how many there were. Starts
-        and urgent findings take turns, so that neither holds up the other.
+        Of the starts of a host's sends the newest tells how many there were, to a
+        service and of a workspace. Starts and urgent findings take turns, so that
+        neither holds up the other.
         """
         starts = {}
         urgent = {}
@@ -54,7 +58,8 @@
             kind = observation.kind
             target_id = observation.target_id
             if kind in START_FINDINGS:
-                key = (kind, observation.host_id, self.service_of(target_id))
+                service = self.service_of(target_id)
+                key = (kind, observation.host_id, service, observation.workspace)
                 replace_last(starts, key, observation)
             elif kind in URGENT:
                 replace_last(urgent, target_id, observation)
@@ -72,8 +77,17 @@
 
     def pop_batch(self):
         """Remove and return all crashes and the next observations that fit."""
-        observations = self.observations[:MAX_OBSERVATIONS]
-        self.observations = self.observations[MAX_OBSERVATIONS:]
+        count = 0
+        room = MAX_OBSERVATIONS * OBSERVATION_BYTES
+        for observation in self.observations[:MAX_OBSERVATIONS]:
+            room -= OBSERVATION_BYTES
+            if observation.workspace is not None:
+                room -= len(observation.workspace.encode()) + ANNOUNCEMENT_BYTES
+            if room < 0 and count > 0:
+                break
+            count += 1
+        observations = self.observations[:count]
+        self.observations = self.observations[count:]
         crashes = self.crashes
         self.crashes = []
         return observations, crashes
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -96,6 +96,10 @@
             answer = refusal_answer(HostReason.STOPPING, retry_after_s=0.0)
             self.request_log.finished(exchange, answer)
             return answer
+        answer = self.view.rate_limits.admit(exchange)
+        if answer is not None:
+            self.request_log.finished(exchange, answer)
+            return answer
         try:
             request.body.limit(self.view.configuration.bounds.body_bytes)
             if request.body.length != 0:
@@ -103,7 +107,9 @@
                     request.body, BUFFERED_BODY_BYTES
                 )
             request.body.charge.begin_send()
-            answer = await self.run(exchange)
+            answer = self.view.rate_limits.admit_again(exchange)
+            if answer is None:
+                answer = await self.run(exchange)
         except BodyTooLarge:
             answer = refusal_answer(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
         except MemoryPressure:
@@ -119,6 +125,8 @@
                 reason=hide_credentials(format_failure(error), request.headers),
             )
             answer = refusal_answer(HostReason.INTERNAL, True)
+        finally:
+            self.view.rate_limits.give_back(exchange)
         self.request_log.finished(exchange, answer)
         return answer
 
