Tests that stalled bodies make room, and of the limit on target connections

The limit on connections to all targets had no test.

Change: two scenarios in features/memory_budget.feature.

--- a/features/memory_budget.feature
+++ b/features/memory_budget.feature
@@ -26,6 +26,16 @@
     Then memory budget: at least 15 bodies were received, the oldest first
     And memory budget: at most 32 MiB are held at any time
 
+  # Guards against bodies that stop short and keep large bodies of others out for good.
+  Scenario: memory budget: Bodies that stop short make room again
+    Given memory budget: 60 callers that stop short at a budget of 32 MiB
+    When memory budget: 0 ordinary requests a second arrive for 10 s
+    Then memory budget: at most 16 MiB are held at the end
+
+  # Guards against connections to targets that take the descriptors of a host.
+  Scenario: memory budget: Connections to all targets are limited in sum
+    Then memory budget: at the limit the oldest idle connection is closed, else none opens
+
   # Guards against limits for hosts whose settings ask for none, and against settings
   # that leave no room.
   Scenario Outline: memory budget: limits.memoryMb=<memory> and limits.maxFds=<files>
--- a/features/steps/memory_budget_steps.py
+++ b/features/steps/memory_budget_steps.py
@@ -22,6 +22,7 @@
     ForwardedBody,
     MemoryPressure,
 )
+from oleanderroute.entry.target_pool import ConnectionLimitReached, TargetPool
 from oleanderroute.errors import AnswerTimeout
 from oleanderroute.host.limited_stream import LimitedStream
 from oleanderroute.host.model import HostSettings
@@ -217,6 +218,12 @@
     assert context.host.most_held <= size * MIB, context.host.most_held / MIB
 
 
+@then("memory budget: at most {size:d} MiB are held at the end")
+def step_held_at_end(context, size):
+    held = context.host.budget.held_bytes
+    assert held <= size * MIB, held / MIB
+
+
 @then("memory budget: at least {count:d} bodies were received, the oldest first")
 def step_received(context, count):
     received = context.host.received
@@ -310,3 +317,35 @@
 
     asyncio.run(send())
     assert published == [Finding.ENDED], published
+
+
+@then(
+    "memory budget: at the limit the oldest idle connection is closed, else none opens"
+)
+def step_total_limit(context):
+    async def fill():
+        pool = TargetPool("h", "a")
+        pool.total_limit = 2
+        closed = []
+        for number in (1, 2):
+            target = SimpleNamespace(target_id=f"t{number}", incarnation=number)
+            connections = pool.connections_to(target)
+            connection = SimpleNamespace(owner=connections, idle_since=float(number))
+            connection.retire = lambda name=target.target_id: closed.append(name)
+            connections.open.add(id(connection))
+            connections.idle.append(connection)
+        pool.make_room()
+        assert closed == ["t1"], closed
+        pool.make_room()
+        assert closed == ["t1", "t2"], closed
+        try:
+            # Both are still counted, as their sockets close in the next pass.
+            pool.make_room()
+        except ConnectionLimitReached:
+            return
+        finally:
+            pool.targets.clear()
+            pool.close()
+        raise AssertionError("a connection above the limit")
+
+    asyncio.run(fill())
