At the connection limit, single bytes don't count as progress

Cause: each received byte counted as activity, so callers that send single bytes of a head or a body could keep all connections of a host. The 503 to a connection above the limit had no Retry-After.

Change: an incomplete head counts as inactive from its first byte, a body from its last progress in the memory budget. Refusals for a full host carry Retry-After; those of the earlier daemon are unchanged.

--- a/oleanderroute/entry/caller_checks.py
+++ b/oleanderroute/entry/caller_checks.py
@@ -70,11 +70,19 @@
     return path
 
 
-def encode_refusal(status, reason):
-    """Return the encoded answer to a refused request."""
+def encode_refusal(status, reason, may_return=False):
+    """Return the encoded answer to a refused request.
+
+    Parameters
+    ----------
+    status : int
+    reason : RefusalReason
+    may_return : bool
+        Whether the caller is told when there will be room.
+    """
     return b"%bcontent-length: 0\r\nconnection: close\r\n%b%b%b\r\n\r\n" % (
         STATUS_LINE[status],
-        RETRY_AFTER_LINE if reason is RefusalReason.MEMORY else b"",
+        RETRY_AFTER_LINE if may_return else b"",
         b"oleander-outcome: not-run\r\noleander-reason: ",
         reason.value.encode("ascii"),
     )
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -149,7 +149,7 @@
         if excess > limits.excess_connections:
             self.abort()
         elif excess > 0:
-            self.refuse(503, RefusalReason.CONNECTIONS)
+            self.refuse(503, RefusalReason.CONNECTIONS, limits.must_make_room)
 
     def make_room(self):
         """End the connection that is inactive for longest; tell whether there is one.
@@ -159,9 +159,10 @@
         inactive = None
         inactive_since = self.clock.now() - MIN_INACTIVE_S
         for connection in self.connections:
-            if connection.active_at <= inactive_since and connection.is_waiting():
+            waits_since = connection.waits_since()
+            if waits_since is not None and waits_since <= inactive_since:
                 inactive = connection
-                inactive_since = connection.active_at
+                inactive_since = waits_since
         if inactive is None:
             return False
         # It no longer counts, and its end needs another pass of the event loop.
@@ -169,12 +170,15 @@
         inactive.abort()
         return True
 
-    def is_waiting(self):
-        """Tell whether only the caller can go on."""
+    def waits_since(self):
+        """Return since when only the caller can go on, or None if others can."""
         cycle = self.cycle
         if cycle is None or cycle.response_complete or self.flow.write_paused:
-            return True
-        return cycle.more_body and not self.flow.read_paused
+            return self.active_at
+        if not cycle.more_body or self.flow.read_paused:
+            return None
+        # The account does not count single bytes of a large body.
+        return self.active_at if self.account is None else self.account.progress_at
 
     def connection_lost(self, error):
         """Cancel the request in progress, which closes the target's connection."""
@@ -191,7 +195,6 @@
         if self.discarding:
             return
         self.raw_bytes += len(data)
-        self.active_at = self.clock.now()
         self.body_progress = False
         try:
             self.parser.feed_data(data)
@@ -290,6 +293,8 @@
         self.content_length = None
         self.transfer_encoding = None
         self.deadline = inf
+        # Later bytes of the head don't count, as heads usually arrive at once.
+        self.active_at = self.clock.now()
         if self.guard is not None:
             self.close_account()
             self.account = self.guard.open(self)
@@ -384,6 +389,7 @@
         if cycle.response_complete or cycle.refused_for_memory:
             return
         cycle.add_body(body)
+        self.active_at = self.clock.now()
         if len(cycle.body) > HIGH_WATER_LIMIT:
             self.flow.pause_reading()
             if self.account is not None:
@@ -516,15 +522,21 @@
         cycle = self.cycle
         if self.in_headers:
             if not self.lingering:
-                self.refuse(503, RefusalReason.MEMORY)
+                self.refuse(503, RefusalReason.MEMORY, may_return=True)
         elif cycle is None or cycle.response_complete or cycle.response_started:
             self.abort()
         else:
             cycle.refuse_for_memory()
 
-    def refuse(self, status, reason):
-        """Answer a request that did not reach the pipeline, then close."""
-        self.transport.write(encode_refusal(status, reason))
+    def refuse(self, status, reason, may_return=False):
+        """Answer a request that did not reach the pipeline, then close.
+
+        Parameters
+        ----------
+        may_return : bool
+            Whether the caller is told when there will be room.
+        """
+        self.transport.write(encode_refusal(status, reason, may_return))
         self.linger()
 
     def linger(self):
