An answer that nobody reads is given up after 4 s while its target sends

Cause: a target cuts off an answer that stays unread for some seconds. The host held such an answer until the time limit of the request, up to 9 s.

Change: with limits.memoryMb, the connection of a caller that reads nothing for 4 s of an answer that is still received is reset, which ends it at the target.

No test covers this limit yet.

--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -53,6 +53,8 @@
         Seconds without a byte of the body while the target is ready for more.
     write_timeout_s : float
         Seconds in which a caller reads nothing of a pending answer.
+    open_answer_s : float
+        The same while the target still sends the answer, if it is less.
     idle_s : float
         Seconds that a connection may be idle between two requests. Longer than the
         usual 60 s of load balancers, so that the balancer closes first.
@@ -66,6 +68,7 @@
     header_s: float = 10.0
     body_read_timeout_s: float = 30.0
     write_timeout_s: float = 60.0
+    open_answer_s: float = inf
     idle_s: float = 75.0
 
 
@@ -464,12 +467,15 @@
         super().pause_writing()
         self.write_overdue = False
         self.active_at = self.clock.now()
-        self.deadline = self.active_at + self.limits.write_timeout_s
+        limits = self.limits
+        limit_s = limits.write_timeout_s
+        is_complete = self.cycle is None or self.cycle.response_complete
+        if not is_complete:
+            limit_s = min(limit_s, limits.open_answer_s)
+        self.deadline = self.active_at + limit_s
         if self.account is not None:
             self.guard.hold_answer(
-                self.account,
-                self.transport.get_write_buffer_size(),
-                self.cycle is None or self.cycle.response_complete,
+                self.account, self.transport.get_write_buffer_size(), is_complete
             )
 
     def resume_writing(self):
--- a/oleanderroute/host/resource_limits.py
+++ b/oleanderroute/host/resource_limits.py
@@ -20,6 +20,9 @@
 MIN_BUDGET_BYTES = 8 * 1024 * 1024
 # Part of the budget that open connections may take.
 CONNECTIONS_SHARE = 0.25
+# A target cuts off an answer that stays unread for some seconds, and is then taken for
+# faulty. Callers wait 9 s at most in total.
+OPEN_ANSWER_S = 4.0
 # Descriptors for files, listeners, gossip and the store.
 RESERVED_DESCRIPTORS = 200
 # Settings with less have no room for callers; connections are then limited to this.
@@ -64,6 +67,7 @@
         self.connection_limits = {}
         if settings.memory_limit_bytes:
             rest_bytes = settings.memory_limit_bytes - used_bytes - GROWTH_BYTES
+            self.connection_limits["open_answer_s"] = OPEN_ANSWER_S
             self.budget_bytes = max(MIN_BUDGET_BYTES, int(BUDGET_SHARE * rest_bytes))
             self.limit_callers(
                 int(CONNECTIONS_SHARE * self.budget_bytes) // CONNECTION_BYTES
@@ -82,11 +86,11 @@
         known = self.connection_limits.get("connections", limits.connections)
         if connections - excess >= known:
             return
-        self.connection_limits = {
-            "connections": connections - excess,
-            "excess_connections": excess,
-            "must_make_room": True,
-        }
+        self.connection_limits.update(
+            connections=connections - excess,
+            excess_connections=excess,
+            must_make_room=True,
+        )
 
     def caller_limits(self, **others):
         """Return ``CallerLimits`` with the limits on connections."""
