--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -53,6 +53,8 @@
         Seconds without a byte of the body while the target is ready for more.
     write_timeout_s : float
         Seconds in which a caller reads nothing of a pending answer.
+    open_answer_s : float
+        The same while the target still sends the answer, if it is less.
     idle_s : float
         Seconds that a connection may be idle between two requests. Longer than the
         usual 60 s of load balancers, so that the balancer closes first.
@@ -66,6 +68,7 @@
     header_s: float = 10.0
     body_read_timeout_s: float = 30.0
     write_timeout_s: float = 60.0
+    open_answer_s: float = inf
     idle_s: float = 75.0
 
 
@@ -149,7 +152,7 @@
         if excess > limits.excess_connections:
             self.abort()
         elif excess > 0:
-            self.refuse(503, RefusalReason.CONNECTIONS)
+            self.refuse(503, RefusalReason.CONNECTIONS, limits.must_make_room)
 
     def make_room(self):
         """End the connection that is inactive for longest; tell whether there is one.
@@ -159,9 +162,10 @@
         inactive = None
         inactive_since = self.clock.now() - MIN_INACTIVE_S
         for connection in self.connections:
-            if connection.active_at <= inactive_since and connection.is_waiting():
+            waits_since = connection.waits_since()
+            if waits_since is not None and waits_since <= inactive_since:
                 inactive = connection
-                inactive_since = connection.active_at
+                inactive_since = waits_since
         if inactive is None:
             return False
         # It no longer counts, and its end needs another pass of the event loop.
@@ -169,12 +173,15 @@
         inactive.abort()
         return True
 
-    def is_waiting(self):
-        """Tell whether only the caller can go on."""
+    def waits_since(self):
+        """Return since when only the caller can go on, or None if others can."""
         cycle = self.cycle
         if cycle is None or cycle.response_complete or self.flow.write_paused:
-            return True
-        return cycle.more_body and not self.flow.read_paused
+            return self.active_at
+        if not cycle.more_body or self.flow.read_paused:
+            return None
+        # The account does not count single bytes of a large body.
+        return self.active_at if self.account is None else self.account.progress_at
 
     def connection_lost(self, error):
         """Cancel the request in progress, which closes the target's connection."""
@@ -191,7 +198,6 @@
         if self.discarding:
             return
         self.raw_bytes += len(data)
-        self.active_at = self.clock.now()
         self.body_progress = False
         try:
             self.parser.feed_data(data)
@@ -290,6 +296,8 @@
         self.content_length = None
         self.transfer_encoding = None
         self.deadline = inf
+        # Later bytes of the head don't count, as heads usually arrive at once.
+        self.active_at = self.clock.now()
         if self.guard is not None:
             self.close_account()
             self.account = self.guard.open(self)
@@ -384,6 +392,7 @@
         if cycle.response_complete or cycle.refused_for_memory:
             return
         cycle.add_body(body)
+        self.active_at = self.clock.now()
         if len(cycle.body) > HIGH_WATER_LIMIT:
             self.flow.pause_reading()
             if self.account is not None:
@@ -458,12 +467,15 @@
         super().pause_writing()
         self.write_overdue = False
         self.active_at = self.clock.now()
-        self.deadline = self.active_at + self.limits.write_timeout_s
+        limits = self.limits
+        limit_s = limits.write_timeout_s
+        is_complete = self.cycle is None or self.cycle.response_complete
+        if not is_complete:
+            limit_s = min(limit_s, limits.open_answer_s)
+        self.deadline = self.active_at + limit_s
         if self.account is not None:
             self.guard.hold_answer(
-                self.account,
-                self.transport.get_write_buffer_size(),
-                self.cycle is None or self.cycle.response_complete,
+                self.account, self.transport.get_write_buffer_size(), is_complete
             )
 
     def resume_writing(self):
@@ -516,15 +528,21 @@
         cycle = self.cycle
         if self.in_headers:
             if not self.lingering:
-                self.refuse(503, RefusalReason.MEMORY)
+                self.refuse(503, RefusalReason.MEMORY, may_return=True)
         elif cycle is None or cycle.response_complete or cycle.response_started:
             self.abort()
         else:
             cycle.refuse_for_memory()
 
-    def refuse(self, status, reason):
-        """Answer a request that did not reach the pipeline, then close."""
-        self.transport.write(encode_refusal(status, reason))
+    def refuse(self, status, reason, may_return=False):
+        """Answer a request that did not reach the pipeline, then close.
+
+        Parameters
+        ----------
+        may_return : bool
+            Whether the caller is told when there will be room.
+        """
+        self.transport.write(encode_refusal(status, reason, may_return))
         self.linger()
 
     def linger(self):
