Rate limits: reports between hosts only while a workspace has a limit

Cause: a configuration with workspaces but without limits paid for the reports. Change: the hooks of the gossip ask whether any workspace has a limit.

--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -590,7 +590,7 @@
             last_seen_at={},
             replica=StoreReplica(),
             configuration=None,
-            rate_limits=SimpleNamespace(),
+            rate_limits=SimpleNamespace(is_needed=False),
             record_confirmation=lambda at: None,
             observe=lambda target, finding, sent_at, sender, *rest: self.known[
                 host.host_id
--- a/oleanderroute/host/contact.py
+++ b/oleanderroute/host/contact.py
@@ -10,7 +10,7 @@
 CONTACT_S = 0.35
 # Interval at which a hub reports.
 REPORT_INTERVAL_S = 0.1
-# With workspaces in the configuration, a host that sends nothing else sends a heartbeat
+# With rate limits configured, a host that sends nothing else sends a heartbeat
 # to its hub every 0.2 s; two may be lost.
 MEMBER_HEARTBEAT_S = 0.15
 SILENT_S = 0.65
@@ -55,15 +55,12 @@
         for host_id in self.reports.keys() - self.view.hosts.keys():
             del self.reports[host_id]
 
-    @property
-    def is_needed(self):
-        """Whether the configuration has workspaces."""
-        configuration = self.view.configuration
-        return configuration is not None and bool(configuration.workspaces)
-
     def is_report_due(self, now):
         """Tell whether this host, as a hub, has to report again."""
-        return self.is_needed and now - self.reported_at >= REPORT_INTERVAL_S
+        return (
+            self.view.rate_limits.is_needed
+            and now - self.reported_at >= REPORT_INTERVAL_S
+        )
 
     def make_report(self, now):
         """Return the failure domains that this hub reaches, and the silent hosts.
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -130,7 +130,7 @@
             interval_s = HEARTBEAT_INTERVAL_S
             if self.membership.is_hub:
                 interval_s = HUB_HEARTBEAT_INTERVAL_S
-            elif self.contact.is_needed:
+            elif self.view.rate_limits.is_needed:
                 interval_s = MEMBER_HEARTBEAT_S
             await asyncio.sleep(
                 interval_s if self.membership.is_hub else ROLE_CHECK_INTERVAL_S
@@ -393,7 +393,7 @@
 
     def add_contact_report(self, message):
         """Add to a hub's message which hosts' announcements reach it, if needed."""
-        if self.contact.is_needed:
+        if self.view.rate_limits.is_needed:
             now = self.clock.now()
             message.reached, message.silent = self.contact.make_report(now)
 
--- a/oleanderroute/host/rate_limits.py
+++ b/oleanderroute/host/rate_limits.py
@@ -48,11 +48,28 @@
         self.updated_at = None
         self.checked_at = float("-inf")
         self.logged_at = float("-inf")
+        # The configuration in which limits were looked for, and whether it has any.
+        self.examined = None
+        self.has_limits = False
         self.admitted = 0
         self.refused = 0
         self.returned = 0
         self.refused_by_workspace = Counter()
 
+    @property
+    def is_needed(self):
+        """Whether a workspace of the configuration has a limit."""
+        configuration = self.view.configuration
+        if configuration is not self.examined:
+            self.examined = configuration
+            self.has_limits = False
+            if configuration is not None:
+                for policy in configuration.workspaces.values():
+                    if policy.rate_per_s > 0.0:
+                        self.has_limits = True
+                        break
+        return self.has_limits
+
     # Requests
 
     def admit(self, exchange):
@@ -146,8 +163,7 @@
 
     def update(self, now):
         """Detect a pause of the process, and forget idle buckets; called regularly."""
-        configuration = self.view.configuration
-        if configuration is None or not configuration.workspaces:
+        if not self.is_needed:
             self.updated_at = now
             return
         self.update_contact(now)
