--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -30,6 +30,7 @@
 from oleanderroute.decisions.selection import RequestProfile, Selector, TargetView
 from oleanderroute.decisions.send_counts import RemoteSendCounts
 from oleanderroute.decisions.standing_queue import StandingQueue
+from oleanderroute.entry.messages import NULL_CHARGE
 from oleanderroute.errors import DocumentError, MessageRejected, SettingsError
 from oleanderroute.host.copies import CopyServer, fetch_copy
 from oleanderroute.host.fleetview import FleetView
@@ -1030,7 +1031,7 @@
             (b"host", HOST.encode()),
             (b"x-deadline-remaining", b"%d" % (left_s * 1000)),
         ],
-        body=SimpleNamespace(length=0, limit=lambda most: None),
+        body=SimpleNamespace(length=0, limit=lambda most: None, charge=NULL_CHARGE),
         received_at=clock.now(),
     )
     answer = asyncio.run(proxy.handle(request))
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -11,8 +11,8 @@
 from features.support.rate_limit_fleet import exact_admissions, run_trouble
 from oleanderroute.clock import ManualClock
 from oleanderroute.decisions.health import Finding
+from oleanderroute.entry.messages import NULL_CHARGE
 from oleanderroute.host.contact import ContactReport
-from oleanderroute.host.exchange import Exchange
 from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.model import (
     CallerBounds,
@@ -31,6 +31,7 @@
 from oleanderroute.platform import documents
 
 SEEDS = (1, 2)
+KEY = b"key-of-acme"
 POLICY = WorkspacePolicy("acme", 10.0, 5.0)
 ROUTE = HostRoute(
     "r", "", "/", Repeatability.ONCE, 5.0, 1.0, (Destination("s", 1.0),), 1
@@ -106,6 +107,7 @@
             {},
             CallerBounds(1000, 10**6, 1.0, 1.0),
             {policy.name: policy},
+            {KEY: policy.name},
         )
         self.view.routes = PrefixRoutes((ROUTE,))
         self.policy = policy
@@ -116,6 +118,8 @@
         headers = SimpleNamespace(
             parse_caller_headers=lambda found: (b"id", None),
             base_headers=lambda found: [],
+            parse_api_key=lambda found: (KEY, [KEY]),
+            workspace_headers=lambda found, credentials, name, authority: [],
         )
         forwarder = SimpleNamespace(
             crashes=SimpleNamespace(is_refused=lambda exchange: False), run=self.forward
@@ -124,15 +128,6 @@
         self.proxy = HostProxy(
             self.view, forwarder, headers, request_log, self.clock, random.Random(1)
         )
-        make_exchange = self.proxy.make_exchange
-
-        def with_workspace(*parts):
-            exchange = make_exchange(*parts)
-            assert isinstance(exchange, Exchange), exchange
-            exchange.workspace = self.policy
-            return exchange
-
-        self.proxy.make_exchange = with_workspace
 
     async def forward(self, exchange):
         if self.is_sent:
@@ -148,7 +143,10 @@
     def call(self):
         """Serve one request and return its answer."""
         body = SimpleNamespace(
-            length=None, limit=lambda size: None, read_chunk=self.read_chunk
+            length=None,
+            limit=lambda size: None,
+            read_chunk=self.read_chunk,
+            charge=NULL_CHARGE,
         )
         request = SimpleNamespace(
             headers=[],
