Without a memory budget, requests are sent without asking for room

Cause: since the charge of sends, HostProxy used the charge of each body, also without limits.memoryMb. Four scenarios of features/host_decisions (a request that comes late in a stop) failed, as their stub of a body has no charge.

Change: HostProxy asks only if the host has a budget. The test is unchanged.

Result: host_decisions, memory_budget, untrusted_callers and structure: 114 passed, 0 failed.

--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -136,6 +136,7 @@
             self.clock,
             self.rng,
         )
+        self.proxy.has_memory_budget = self.limits.budget_bytes > 0
         self.caller_server = CallerServer(
             HostApplication(self.proxy, self.clock),
             settings.address,
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -49,6 +49,7 @@
         self.clock = clock
         self.rng = rng
         self.in_flight = 0
+        self.has_memory_budget = False
         # Once the host stops: from when on a request is late, and when it is cut.
         self.late_from = inf
         self.cut_at = inf
@@ -96,7 +97,8 @@
                 exchange.body_prefix = await read_body_prefix(
                     request.body, BUFFERED_BODY_BYTES
                 )
-            request.body.charge.begin_send()
+            if self.has_memory_budget:
+                request.body.charge.begin_send()
             answer = await self.run(exchange)
         except BodyTooLarge:
             answer = refusal_answer(HostReason.BODY_TOO_LARGE, exchange.may_have_run)
