--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -140,6 +140,7 @@
             self.rng,
             api_keys,
         )
+        self.proxy.has_memory_budget = self.limits.budget_bytes > 0
         self.caller_server = CallerServer(
             HostApplication(self.proxy, self.clock),
             settings.address,
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -55,6 +55,7 @@
         self.rng = rng
         self.api_keys = api_keys or ApiKeys(view, headers, clock)
         self.in_flight = 0
+        self.has_memory_budget = False
         # Once the host stops: from when on a request is late, and when it is cut.
         self.late_from = inf
         self.cut_at = inf
@@ -106,7 +107,8 @@
                 exchange.body_prefix = await read_body_prefix(
                     request.body, BUFFERED_BODY_BYTES
                 )
-            request.body.charge.begin_send()
+            if self.has_memory_budget:
+                request.body.charge.begin_send()
             answer = self.view.rate_limits.admit_again(exchange)
             if answer is None:
                 answer = await self.run(exchange)
