--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -59,6 +59,8 @@
             changes=changes - self.belief_changes,
         )
         self.belief_changes = changes
+        for service, count in self.view.count_overdue_sends().items():
+            self.metrics.overdue_sends.set({"service": service}, count)
 
     def summarize_repeats(self, service, allowance, now):
         """Log how many sends to a service are counted in the window."""
