--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -23,9 +23,9 @@
 MAX_EXPLORE_FAILURE_PROBABILITY = 0.70
 # Below this failure probability a target counts as available capacity.
 HEALTHY_FAILURE_PROBABILITY = 0.5
-# Expected loss by each open send at a target. If a gray phase begins, all requests sent
-# before the first one is overdue are lost together, and a send to a target without open
-# sends shows more about the fleet. Measured in docs/design/open-sends.md.
+# Expected loss by each open send at a target. At the start of a gray phase the requests
+# that are sent before one is overdue are lost together. The value is measured in
+# docs/design/open-sends.md.
 OPEN_SEND_LOSS = 0.02
 # A remote send without a reported end is dropped from the count after this time, until
 # the configuration gives the time-outs of its routes.
