--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -139,7 +139,9 @@
         part = multiple * self.allowance / max(1, known_hosts)
         return SAFETY_FACTOR * (ratio * len(self.own_sends.first_sends) + part)
 
-    def may_repeat(self, reachable_hosts, known_hosts, now, is_hedge=False):
+    def may_repeat(
+        self, reachable_hosts, known_hosts, now, is_hedge=False, usable_share=1.0
+    ):
         """Return whether one more repeat is allowed.
 
         Parameters
@@ -152,9 +154,12 @@
             Monotonic seconds.
         is_hedge : bool
             Whether the first send may still succeed.
+        usable_share : float
+            Part of the limit of all hosts that a request may use; it leaves the rest
+            to more urgent ones.
         """
         self.expire(now)
-        limit = self.limit(reachable_hosts, known_hosts, now)
+        limit = usable_share * self.limit(reachable_hosts, known_hosts, now)
         if is_hedge:
             limit *= 1.0 - HEDGE_RESERVE_SHARE
         if len(self.all_sends.repeats) + 1 > limit:
