--- /dev/null
+++ b/features/load_shedding.feature
@@ -0,0 +1,65 @@
+Feature: Load shedding by what costs callers least
+
+  # Guards against a change for services whose requests are all of one kind.
+  Scenario: load shedding: One kind is refused as by the standing queue alone
+    Then load shedding: 5000 random requests of one kind are refused as by the standing queue
+
+  # Guards against urgent requests that are refused like all others, and against kinds
+  # that get less than half of the service that all get.
+  Scenario Outline: load shedding: <service> at <load> times the capacity, seed <seed>
+    When load shedding: <service> gets <load> times its capacity for 10 s, seed <seed>
+    Then load shedding: the credit of "<kind>" is at least <more> above that of both older rules
+    And load shedding: the credit of all is at least <all> of that of arrival order
+    And load shedding: each kind gets half of what all get, and none 0.05 more than a more urgent one
+    And load shedding: at least 0.95 of the slots' time is in use
+
+    Examples:
+      | service            | load | seed | kind   | more | all |
+      | three priorities   | 1.3  | 2    | order  | 0.15 | 1.1 |
+      | three priorities   | 2.0  | 2    | order  | 0.15 | 1.1 |
+      | work and objective | 1.3  | 2    | lookup | 0.3  | 1.1 |
+      | work and objective | 2.0  | 3    | lookup | 0.15 | 1.1 |
+      | batch beside short | 1.3  | 3    | order  | 0.3  | 1.1 |
+      | batch beside short | 2.0  | 3    | order  | 0.15 | 1.1 |
+
+  # Guards against shedding where targets turn requests away whatever their load.
+  Scenario: load shedding: Targets that turn away a fifth of all requests
+    When load shedding: three priorities gets 0.75 times its capacity for 10 s, a fifth turned away, seed 2
+    Then load shedding: at least 0.99 of the callers of each kind are served
+    And load shedding: each kind gets half of what all get, and none 0.05 more than a more urgent one
+
+  # Guards against refusals by the work of another kind, or by an estimate that no
+  # request can correct any more.
+  Scenario Outline: load shedding: A request with <left> s left after <samples> samples of <work> s, <age> s old
+    Then load shedding: with <left> s left after <samples> samples of <work> s, <age> s old, it is <result>
+
+    Examples:
+      | left | samples | work | age | result   |
+      | 0.1  | 30      | 0.3  | 1   | hopeless |
+      | 0.31 | 30      | 0.3  | 1   | possible |
+      | 0.1  | 19      | 0.3  | 1   | possible |
+      | 0.1  | 30      | 0.3  | 31  | possible |
+
+  Scenario: load shedding: A route with few samples is taken to be like its service
+    Then load shedding: a route with 5 samples has the mean work of its service, and a service without samples the default
+
+  # Guards against memory that grows with the routes and priorities of a configuration.
+  Scenario: load shedding: Routes and kinds are bounded
+    Then load shedding: 1000 routes leave 64 estimates and 32 kinds
+
+  # Guards against a host that sheds after a pause by what it knew before.
+  Scenario Outline: load shedding: A host whose clock jumps by <jump> s under overload
+    Then load shedding: after a jump of <jump> s requests without a wait are admitted
+
+    Examples:
+      | jump |
+      | 60   |
+      | -60  |
+
+  # Guards against an order that goes on for a kind that nobody requests any more.
+  Scenario: load shedding: A kind that disappears ends the order
+    Then load shedding: 150 s after the last request of the second kind the order has ended
+
+  # Guards against hopeless requests that occupy slots, and against a false "not run".
+  Scenario: load shedding: A host refuses hopeless requests and none of another service
+    Then load shedding: a host answers a hopeless request 503 "shed" without a send, and serves another service
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -193,16 +193,14 @@
             loss += CONNECT_LOSS
         return loss
 
-    def min_wait_s(self, views, latencies, now):
-        """Return the minimum expected wait among healthy targets, 0 without any."""
-        minimum_s = None
+    def healthy_waits_s(self, views, latencies, now):
+        """Return the expected waits at the healthy targets, in ascending order."""
+        waits_s = []
         for view in views:
-            if view.health.failure_probability(now) >= HEALTHY_FAILURE_PROBABILITY:
-                continue
-            wait_s = view.wait_s(now, latencies.service_s)
-            if minimum_s is None or wait_s < minimum_s:
-                minimum_s = wait_s
-        return minimum_s or 0.0
+            if view.health.failure_probability(now) < HEALTHY_FAILURE_PROBABILITY:
+                waits_s.append(view.wait_s(now, latencies.service_s))
+        waits_s.sort()
+        return waits_s
 
     def best(self, views, latencies, request_profile, now):
         """Return the view with the least expected loss, jitter included, or None."""
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -662,3 +662,12 @@
     Level.INFO,
     ("request", "path", "reason", "version", "news_age_s", "left_out"),
 )
+SHEDDING_TURNED = define(
+    700,
+    "shedding_turned",
+    "A service with several kinds of requests began, or ceased, to refuse by their "
+    "order; kinds lists route, priority, work in ms and admitted share.",
+    Level.WARNING,
+    ("service", "shedding", "kinds"),
+    "Add targets to the service if it lasts, or lower the demand of the first kinds.",
+)
--- a/oleanderroute/host/forwarder.py
+++ b/oleanderroute/host/forwarder.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from .. import events
 from ..decisions.health import OVERDUE_QUANTILE
 from ..decisions.selection import RequestProfile
 from .exchange import SendResult
 from .refusal import HostReason, refusal_answer
+from .shedding import RequestShedding
 from .target_sender import NOT_RUN_STATUSES
 
 # The hedge delay of an idempotent request is a high quantile of the latency of good
@@ -40,36 +40,21 @@
         self.crashes = crashes
         self.target_sender = target_sender
         self.clock = clock
+        self.shedding = RequestShedding(
+            view, selector, target_sender.work_estimates, clock
+        )
 
     async def run(self, exchange):
         """Return the ``CallerAnswer`` or ``TargetAnswer`` of a request."""
         latencies = self.view.latencies_of(exchange.service)
         latencies.objective_s = exchange.route.objective_s
-        if self.must_refuse(exchange, latencies):
-            return refusal_answer(HostReason.NO_ROOM, retry_after_s=exchange.wait_s)
+        refusal = self.shedding.refusal(exchange, self.candidates(exchange))
+        if refusal is not None:
+            return refusal
         if exchange.route.is_idempotent:
             return await self.run_idempotent(exchange)
         return await self.run_once(exchange)
 
-    def must_refuse(self, exchange, latencies):
-        """Tell whether a request would only add to a standing queue."""
-        now = self.clock.now()
-        exchange.wait_s = self.selector.min_wait_s(
-            self.candidates(exchange), latencies, now
-        )
-        queue = self.view.queue_of(exchange.service)
-        was_standing = queue.is_standing
-        should_refuse = queue.should_refuse(
-            exchange.wait_s, exchange.route.objective_s, now
-        )
-        if queue.is_standing != was_standing:
-            events.QUEUE_TURNED.log(
-                service=exchange.service,
-                standing=queue.is_standing,
-                wait_s=round(exchange.wait_s, 3),
-            )
-        return should_refuse
-
     # Requests that may run only once
 
     async def run_once(self, exchange):
@@ -222,7 +207,7 @@
         """Tell whether another send of a request is allowed."""
         if not exchange.may_send_again() or self.is_past_deadline(exchange):
             return False
-        if self.crashes.is_refused(exchange):
+        if self.crashes.is_refused(exchange) or self.shedding.is_hopeless(exchange):
             return False
         return self.is_repeat_allowed(exchange, is_hedge)
 
@@ -233,6 +218,7 @@
             self.view.host_count,
             self.clock.now(),
             is_hedge,
+            self.shedding.repeat_share(exchange),
         )
 
     def is_past_deadline(self, exchange):
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -2,8 +2,11 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from .refusal import HostReason
+
 # Upper bounds; the latency objectives of routes lie between 0.4 and 2 s.
 BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
+SHEDDING_REASONS = frozenset({HostReason.SHED.value, HostReason.NO_ROOM.value})
 
 
 class HostMetrics:
@@ -28,6 +31,11 @@
             "Sends to targets by service and result.",
             registry=registry,
         )
+        self.shed = Counter(
+            "oleander_host_requests_shed_total",
+            "Requests refused under overload by service, priority and reason.",
+            registry=registry,
+        )
         self.store_calls = Counter(
             "oleander_host_store_calls_total",
             "Calls to the platform's store by name.",
@@ -76,6 +84,14 @@
                 "reason": answer.reason,
             }
         )
+        if answer.reason in SHEDDING_REASONS:
+            self.shed.inc(
+                {
+                    "service": service,
+                    "priority": str(exchange.priority),
+                    "reason": answer.reason,
+                }
+            )
         self.request_seconds.observe({"service": service}, elapsed_s)
         for record in exchange.sends:
             self.sends.inc({"service": service, "result": record.result_name})
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -6,6 +6,7 @@
 from .. import events
 from ..decisions.health import Finding
 from ..decisions.restrictions import parse_pause_s
+from ..decisions.work_estimate import WorkEstimates
 from ..entry.messages import OutgoingRequest, PrefixedBody
 from ..entry.target_pool import ConnectionLimitReached
 from ..errors import (
@@ -66,6 +67,7 @@
         self.headers = headers
         self.clock = clock
         self.numbers = itertools.count(1)
+        self.work_estimates = WorkEstimates()
 
     async def send(self, exchange, target):
         """Send a request to one target and report the result as a finding.
@@ -119,6 +121,9 @@
             self.crashes.record_success(exchange)
             if not record.is_queued:
                 latencies.add_service_time(record.elapsed_s)
+                self.work_estimates.of(exchange.service).add(
+                    exchange.route.route_id, record.elapsed_s, self.clock.now()
+                )
         self.reporter.report_outcome(target, outcome, record, overdue.overdue_finding)
         if outcome.answer is not None and outcome.answer.stream is not None:
             self.limit_stream(exchange, target, record, outcome.answer)
