Load shedding: test of the host's refusals, event 700 and the counter

Cause: the trial drives the decisions only; nothing showed that their result reaches the answers, the log and the metrics.

--- a/features/load_shedding.feature
+++ b/features/load_shedding.feature
@@ -75,3 +75,7 @@
   # Guards against hopeless requests that occupy slots, and against a false "not run".
   Scenario: load shedding: A host refuses hopeless requests and none of another service
     Then load shedding: a host answers a hopeless request 503 "shed" without a send, and serves another service
+
+  # Guards against an order that does not reach the answers, the log and the metrics.
+  Scenario: load shedding: An overloaded host refuses less urgent requests
+    Then load shedding: of 200 requests of each priority at full targets a host refuses more of priority 2 than of 0, with event 700 and counts by priority
--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -3,20 +3,33 @@
 import asyncio
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import then, when
+from eliot import add_destinations, remove_destination
 
 from bench.shedding_trial import RULES, SERVICES, Trial
+from features.steps.host_decisions_steps import entry
 from features.steps.host_sends_steps import (
     DEADLINE_S,
     ScriptedPool,
     make_exchange,
     make_sender,
 )
-from oleanderroute.clock import SystemClock
+from oleanderroute import events
+from oleanderroute.clock import ManualClock, SystemClock
+from oleanderroute.decisions.health import TargetHealth
+from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.load_shedding import MAX_KINDS, LoadShedder, RequestNeed
+from oleanderroute.decisions.selection import Selector, TargetView
 from oleanderroute.decisions.standing_queue import StandingQueue
-from oleanderroute.decisions.work_estimate import MAX_ROUTES, WorkEstimate
+from oleanderroute.decisions.work_estimate import (
+    MAX_ROUTES,
+    WorkEstimate,
+    WorkEstimates,
+)
+from oleanderroute.host.hostmetrics import HostMetrics
+from oleanderroute.host.shedding import RequestShedding
 
 
 def make_shedder():
@@ -211,3 +224,52 @@
     assert (refused.status, refused.reason, reached) == (503, reason, 0), refused
     assert float(dict(refused.headers)[b"retry-after"]) >= 0.1
     assert other.status == 200, other
+
+
+@then(
+    "load shedding: of {count:d} requests of each priority at full targets a host "
+    "refuses more of priority 2 than of 0, with event 700 and counts by priority"
+)
+def step_overloaded_host(context, count):
+    clock = ManualClock(100.0)
+    queue = StandingQueue()
+    latencies = LatencySample()
+    view = SimpleNamespace(
+        queue_of=lambda service: queue, latencies_of=lambda service: latencies
+    )
+    targets = []
+    for number in range(4):
+        target = TargetView(entry(f"t{number}"), TargetHealth(clock.now()))
+        target.own_in_flight = 2 * target.entry.slots
+        targets.append(target)
+    shedding = RequestShedding(
+        view, Selector("a", random.Random(1)), WorkEstimates(), clock
+    )
+    metrics = HostMetrics()
+    refused = {0: 0, 2: 0}
+    records = []
+    keep = records.append
+    add_destinations(keep)
+    try:
+        for _ in range(count):
+            for priority in refused:
+                exchange = make_exchange("once")
+                exchange.deadline_at = clock.now() + 3.0
+                exchange.route = replace(
+                    exchange.route, priority=priority, objective_s=1.0
+                )
+                latencies.objective_s = 1.0
+                answer = shedding.refusal(exchange, targets)
+                if answer is not None:
+                    refused[priority] += 1
+                    assert (answer.status, answer.reason) == (503, "no-room")
+                    metrics.request_finished(exchange, answer, 0.0)
+            clock.advance(0.1)
+    finally:
+        remove_destination(keep)
+    assert refused[2] > 1.2 * refused[0] > 0, refused
+    turns = [one for one in records if one["event"] == events.SHEDDING_TURNED.number]
+    assert len(turns) == 1 and len(turns[0]["kinds"]) == 2, turns
+    for priority, times in refused.items():
+        labels = {"service": "s", "priority": str(priority), "reason": "no-room"}
+        assert metrics.shed.get(labels) == times
