--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -722,3 +722,12 @@
     ("gap_s",),
     "Find out what stopped the process, or give the host more processor time.",
 )
+SHEDDING_TURNED = define(
+    700,
+    "shedding_turned",
+    "A service with several kinds of requests began, or ceased, to refuse by their "
+    "order; kinds lists route, priority, work in ms and admitted share.",
+    Level.WARNING,
+    ("service", "shedding", "kinds"),
+    "Add targets to the service if it lasts, or lower the demand of the first kinds.",
+)
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -7,6 +7,7 @@
 from ..decisions.fingerprint import BODY_HEAD_BYTES
 from ..decisions.health import Finding
 from ..decisions.restrictions import parse_pause_s
+from ..decisions.work_estimate import WorkEstimates
 from ..entry.messages import (
     BodyTooLarge,
     ForwardedBody,
@@ -90,6 +91,7 @@
         self.clock = clock
         self.api_keys = api_keys
         self.numbers = itertools.count(1)
+        self.work_estimates = WorkEstimates()
 
     def key_refusal(self, exchange):
         """Return why the configuration in force forbids a send, or None."""
@@ -154,6 +156,9 @@
             self.crashes.record_success(exchange)
             if not record.is_queued:
                 latencies.add_service_time(record.elapsed_s)
+                self.work_estimates.of(exchange.service).add(
+                    exchange.route.route_id, record.elapsed_s, self.clock.now()
+                )
         self.reporter.report_outcome(target, outcome, record, overdue.overdue_finding)
         if outcome.answer is not None and outcome.answer.stream is not None:
             self.limit_stream(exchange, target, record, outcome.answer)
