--- a/oleanderroute/decisions/rate_limit.py
+++ b/oleanderroute/decisions/rate_limit.py
@@ -437,7 +437,8 @@
         self.buckets = {}
         # Counts of the removed buckets' announcements; other hosts remember them.
         self.sent_before = {}
-        self.remote_counts = RemoteSendCounts()
+        # A process numbers the requests of each workspace from 1, at any age.
+        self.remote_counts = RemoteSendCounts(starts_with_one=False)
         self.echo = EchoCheck()
         # Since when this host has been in contact with all that announce.
         self.complete_since = None
--- a/oleanderroute/decisions/send_counts.py
+++ b/oleanderroute/decisions/send_counts.py
@@ -37,13 +37,19 @@
 class RemoteSendCounts:
     """Derives the sends of other hosts from the numbers that they announce.
 
+    Parameters
+    ----------
+    starts_with_one : bool
+        Whether the number 1 of any kind shows that a process has just started.
+
     Attributes
     ----------
     missed : int
         Sends since the start that were counted only by a later number.
     """
 
-    def __init__(self):
+    def __init__(self, starts_with_one=True):
+        self.starts_with_one = starts_with_one
         self.processes = {}
         # Findings of a process that was replaced may still be on their way.
         self.replaced = {}
@@ -65,7 +71,7 @@
             return 0
         process = self.processes.get(host_id)
         if process is None or process.incarnation != incarnation:
-            is_complete = process is not None or number == 1
+            is_complete = process is not None or (number == 1 and self.starts_with_one)
             if process is not None:
                 self.replaced[host_id] = process.incarnation
             process = self.processes[host_id] = Process(incarnation, is_complete)
--- a/oleanderroute/host/configuration_queue.py
+++ b/oleanderroute/host/configuration_queue.py
@@ -86,6 +86,9 @@
         except DocumentError as error:
             self.on_refused(str(error), item, source)
             return
+        except Exception as error:
+            self.on_refused(unexpected_reason(error), item, source)
+            return
         self.is_first = False
         self.on_decoded(found, item, source)
 
@@ -103,6 +106,9 @@
                 except DocumentError as error:
                     self.on_refused(str(error), item, source)
                     continue
+                except Exception as error:
+                    self.on_refused(unexpected_reason(error), item, source)
+                    continue
                 self.on_decoded(found, item, source)
         finally:
             self.task = None
@@ -131,6 +137,14 @@
         return found
 
 
+def unexpected_reason(error):
+    """Return the reason for an error that the decoder does not foresee.
+
+    Its text may quote a key. Raised, it would end the task that decodes later versions.
+    """
+    return f"unexpected {type(error).__name__}"
+
+
 @contextmanager
 def garbage_collection_paused():
     """Run no garbage collection inside the context.
--- a/oleanderroute/host/contact.py
+++ b/oleanderroute/host/contact.py
@@ -17,6 +17,8 @@
 # With more silent hosts a failure domain counts as not reached, as the ids of its hosts
 # would not fit in a datagram.
 MAX_SILENT_OF_DOMAIN = 16
+# Of all failure domains together, for the same reason.
+MAX_SILENT = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +88,8 @@
                 continue
             if len(silent) > MAX_SILENT_OF_DOMAIN:
                 continue
+            if len(silent_hosts) + len(silent) > MAX_SILENT:
+                continue
             reached.append(domain)
             silent_hosts += silent
         return reached, silent_hosts
--- a/oleanderroute/host/exchange.py
+++ b/oleanderroute/host/exchange.py
@@ -87,6 +87,9 @@
         Workspace of the request's API key.
     key_version : int
         Version of the configuration by which the key was last judged.
+    admitted_policy : WorkspacePolicy or None
+        Policy under which the request was admitted. The key may name another
+        workspace, or none, by the time that the request is sent or ends.
     admitted_at : float or None
         When the request was admitted under the rate limit of its workspace, in
         monotonic seconds.
@@ -109,6 +112,7 @@
     wait_s: float = 0.0
     workspace: WorkspacePolicy | None = None
     key_version: int = 0
+    admitted_policy: WorkspacePolicy | None = None
     admitted_at: float | None = None
 
     @property
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -38,6 +38,8 @@
 LIVE_LIST_INTERVAL_S = 0.25
 # Rejected datagrams arrive at any rate; their log lines do not.
 REJECTION_LOG_INTERVAL_S = 1.0
+# A reason may quote a field that fills a datagram.
+MAX_REASON_LENGTH = 200
 # Larger datagrams may be fragmented or lost; larger changes are fetched by TCP.
 MAX_CHANGE_BYTES = 900
 # The field of the message has 16 bits with a sign.
@@ -462,7 +464,7 @@
             return
         self.rejection_logged_at = now
         events.GOSSIP_REJECTED.log(
-            source=source, reason=str(error), rejected=self.rejected
+            source=source, reason=str(error)[:MAX_REASON_LENGTH], rejected=self.rejected
         )
 
     def apply_changes(self, message):
--- a/oleanderroute/host/gossip_checks.py
+++ b/oleanderroute/host/gossip_checks.py
@@ -6,11 +6,10 @@
 from thrift.protocol.TProtocol import TProtocolException
 
 from ..errors import MessageRejected
+from .model import MAX_WORKSPACE_NAME_BYTES
 
 # Ages and latencies beyond this are not sent.
 MAX_AGE_MS = 60_000
-# Of a workspace's name in an announcement; a datagram holds 24 of them.
-MAX_WORKSPACE_BYTES = 253
 # Failure domains, or hosts, in the report of a hub.
 MAX_LISTED = 1000
 
@@ -66,7 +65,7 @@
 def is_announcement(observation):
     """Tell whether the fields about a workspace are complete and in range."""
     return (
-        0 < len(observation.workspace.encode()) <= MAX_WORKSPACE_BYTES
+        0 < len(observation.workspace.encode()) <= MAX_WORKSPACE_NAME_BYTES
         and (observation.workspace_count or 0) > 0
         and observation.incarnation is not None
     )
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -233,6 +233,7 @@
             now = self.clock.now()
             self.view.remove_unreturned_targets(now)
             self.view.remove_expired_hosts(now)
+            self.gossip.contact.forget_removed()
             self.metrics.log_lines_dropped.set({}, self.sink.dropped)
             self.view.rate_limits.update(now)
             self.summary.update(now)
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -15,6 +15,8 @@
 
 # Priority of a route that declares none; 0 is the most urgent.
 DEFAULT_PRIORITY = 1
+# Names are sent to targets in a header, and to hosts in datagrams of up to 24 of them.
+MAX_WORKSPACE_NAME_BYTES = 253
 
 
 class Repeatability(Enum):
--- a/oleanderroute/host/outbox.py
+++ b/oleanderroute/host/outbox.py
@@ -66,7 +66,7 @@
             else:
                 replace_last(others, target_id, observation)
         ordered = []
-        for pair in itertools.zip_longest(starts.values(), urgent.values()):
+        for pair in itertools.zip_longest(reversed(starts.values()), urgent.values()):
             ordered += [observation for observation in pair if observation is not None]
         ordered += others.values()
         self.observations = ordered[: MAX_QUEUED // 2]
--- a/oleanderroute/host/proxy.py
+++ b/oleanderroute/host/proxy.py
@@ -97,11 +97,11 @@
             answer = refusal_answer(HostReason.STOPPING, retry_after_s=0.0)
             self.request_log.finished(exchange, answer)
             return answer
-        answer = self.view.rate_limits.admit(exchange)
-        if answer is not None:
-            self.request_log.finished(exchange, answer)
-            return answer
         try:
+            answer = self.view.rate_limits.admit(exchange)
+            if answer is not None:
+                self.request_log.finished(exchange, answer)
+                return answer
             request.body.limit(self.view.configuration.bounds.body_bytes)
             if request.body.length != 0:
                 exchange.body_prefix = await read_body_prefix(
--- a/oleanderroute/host/rate_limits.py
+++ b/oleanderroute/host/rate_limits.py
@@ -82,6 +82,7 @@
         bucket = self.bucket_of(policy, now)
         if bucket.admit(now, self.heard_at(now)):
             self.admitted += 1
+            exchange.admitted_policy = policy
             exchange.admitted_at = now
             return None
         self.refused += 1
@@ -101,12 +102,18 @@
         return self.admit(exchange)
 
     def give_back(self, exchange):
-        """Return the token of a request that ended without a send."""
+        """Return the token of a request that ended without a send.
+
+        A send counts from its start, as its announcement can't be taken back: a request
+        whose targets were all unreachable keeps its token.
+        """
         if exchange.admitted_at is None or exchange.sends:
             return
+        name = exchange.admitted_policy.name
+        exchange.admitted_policy = None
         exchange.admitted_at = None
         self.returned += 1
-        bucket = self.limiter.buckets.get(exchange.workspace.name)
+        bucket = self.limiter.buckets.get(name)
         if bucket is not None:
             bucket.give_back(self.clock.now())
 
@@ -121,7 +128,7 @@
         if exchange.admitted_at is None:
             return None
         now = self.clock.now()
-        policy = exchange.workspace
+        policy = exchange.admitted_policy
         count = self.bucket_of(policy, now).record_sent()
         tracker = self.contact_tracker
         if tracker is not None and not tracker.membership.is_hub:
@@ -165,6 +172,7 @@
         """Detect a pause of the process, and forget idle buckets; called regularly."""
         if not self.is_needed:
             self.updated_at = now
+            self.limiter.remove_idle(now)
             return
         self.update_contact(now)
         self.updated_at = now
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -7,6 +7,7 @@
 from ..errors import DocumentError
 from ..host.model import (
     DEFAULT_PRIORITY,
+    MAX_WORKSPACE_NAME_BYTES,
     CallerBounds,
     Configuration,
     Destination,
@@ -39,8 +40,10 @@
 MAX_UNIX_MS = 2**63 - 1
 MAX_PORT = 65_535
 WORKSPACES = "tenants"
-# The name of a workspace is sent to targets in a header and to hosts in datagrams.
-MAX_WORKSPACE_NAME_BYTES = 256
+# Limits outside this range are taken for an error of the operator. A rate that is
+# nearly zero would also overflow the time until the next token.
+MIN_LIMIT = 0.001
+MAX_LIMIT = 1_000_000_000
 MAX_PRIORITY = 1_000_000
 # Entries that are decoded in one step: about 0.5 ms for workspaces and 2 ms for routes
 # on a whole core, while a host has down to 0.3 of one.
@@ -144,6 +147,8 @@
         if not isinstance(resource, dict):
             raise DocumentError(path, "not a JSON object")
         kind = resource.get("resourceType")
+        if not isinstance(kind, (str, type(None))):
+            raise DocumentError(f"{path}.resourceType", "not a text")
         spec = required_field(resource, "spec", dict, path)
         if kind == "limits":
             bounds = decode_caller_bounds(spec, path)
@@ -245,8 +250,10 @@
     if spec.get(name) is None:
         return 0.0
     value = required_field(spec, name, (int, float), path)
-    if value < 0:
-        raise DocumentError(f"{path}.{name}", "below zero")
+    if value != 0 and not MIN_LIMIT <= value <= MAX_LIMIT:
+        raise DocumentError(
+            f"{path}.{name}", f"neither 0 nor between {MIN_LIMIT} and {MAX_LIMIT}"
+        )
     return float(value)
 
 
