--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -102,7 +102,7 @@
     def has_idle(self, target_id):
         return False
 
-    async def warm(self, target, count):
+    async def warm(self, target, count, is_check=False):
         """Open a connection; refused by targets that have crashed."""
         if target.target_id in self.dead:
             raise ConnectFailed("refused")
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -300,7 +300,7 @@
             sender = task
             break
     limits = sender.view.rate_limits
-    exchange = SimpleNamespace(workspace=POLICY, admitted_at=1.0)
+    exchange = SimpleNamespace(admitted_policy=POLICY, admitted_at=1.0)
     announcement = limits.count_first_send(exchange)
     assert announcement == ("acme", 1)
     assert limits.limiter.echo.waiting
@@ -315,7 +315,7 @@
             deducted.append(bucket.tokens)
     assert deducted == [-1.0] * others, deducted
     fleet.clock.advance(0.4)
-    assert not limits.limiter.echo.is_late(fleet.clock.now()), "no echo arrived"
+    assert not limits.limiter.echo.waiting, "no echo arrived"
     # A host that hears nothing for 0.35 s has lost the others.
     limits.update_contact(fleet.clock.now())
     assert len(limits.limiter.contact.lost) == others
--- a/oleanderroute/decisions/load_shedding.py
+++ b/oleanderroute/decisions/load_shedding.py
@@ -38,6 +38,8 @@
 # target whose queue of 4 places per slot is full. Full targets refuse in the order of
 # arrival.
 MAX_REFERENCE_WORK = 2.0
+# A kind with less of the demanded work than this does not set the reference wait.
+MIN_REFERENCE_SHARE = 0.05
 # Steps of the fixed point of the served share; it changes by under 0.01 after them.
 SHARE_STEPS = 8
 # Shortest share by which a wait is divided for Retry-After.
@@ -272,7 +274,7 @@
                 return AdmissionResult(False, min_wait_s)
             return ADMITTED
         reference_s = min(
-            MAX_WAIT_SHARE * min(kind.objective_s for kind in self.kinds.values()),
+            MAX_WAIT_SHARE * self.shortest_objective_s(),
             MAX_REFERENCE_WORK * service_s,
         )
         shortest_s = FULL_ADMISSION_WAIT * reference_s
@@ -281,6 +283,9 @@
         if is_long:
             span_s = (NO_ADMISSION_WAIT - FULL_ADMISSION_WAIT) * reference_s
             work_share = max(0.0, 1.0 - (wait_s - shortest_s) / span_s)
+        if work_share >= 1.0:
+            self.reset_shares()
+            return ADMITTED
         assign_shares(groups, work_share)
         share = self.admitted_share(need, wait_s)
         if self.rng.random() < share:
@@ -293,6 +298,18 @@
             return True
         return len({kind.objective_s for kind in self.kinds.values()}) > 1
 
+    def shortest_objective_s(self):
+        """Return the shortest objective of the kinds that make up the demand.
+
+        Otherwise a rare kind with a short objective would have the others refused.
+        """
+        total = sum(kind.count * kind.work_s for kind in self.kinds.values())
+        found = []
+        for kind in self.kinds.values():
+            if kind.count * kind.work_s >= MIN_REFERENCE_SHARE * total:
+                found.append(kind.objective_s)
+        return min(found)
+
     def reset_shares(self):
         """Admit all kinds alike."""
         for kind in self.kinds.values():
--- a/oleanderroute/decisions/rate_limit.py
+++ b/oleanderroute/decisions/rate_limit.py
@@ -45,6 +45,10 @@
 REMOVED_HOLD_S = 60.0
 # Own announcements that are not back from the hub after this time are late.
 MAX_ECHO_S = 0.35
+# Single datagrams get lost, which says nothing about the others. So many announcements
+# in a row show that those of the others may be missing here, too.
+MIN_LATE_ECHOES = 3
+MAX_WAITING_ECHOES = 200
 # The echo may be lost, and no later announcement may confirm it.
 ECHO_HOLD_S = 1.0
 MAX_RETURN_S = 10.0
@@ -395,31 +399,36 @@
     """
 
     def __init__(self):
-        self.waiting = deque()
-        self.confirmed = {}
+        self.waiting = deque(maxlen=MAX_WAITING_ECHOES)
 
     def record_sent(self, workspace, count, now):
         """Record an announcement."""
         self.waiting.append((now, workspace, count))
 
     def record_echo(self, workspace, count):
-        """Record that the hub forwarded an announcement of this host."""
-        self.confirmed[workspace] = max(count, self.confirmed.get(workspace, 0))
+        """Record that the hub forwarded an announcement of this host.
+
+        Earlier ones that have not come back are lost: later ones of their workspaces
+        make up for them.
+        """
+        passed = 0
+        for index, (_, sent_workspace, sent_count) in enumerate(self.waiting, 1):
+            if sent_workspace == workspace and sent_count <= count:
+                passed = index
+        for _ in range(passed):
+            self.waiting.popleft()
 
     def is_late(self, now):
-        """Tell whether an announcement has not come back in time."""
+        """Tell whether the newest announcements have not come back in time."""
         waiting = self.waiting
-        while waiting:
-            sent_at, workspace, count = waiting[0]
-            is_confirmed = self.confirmed.get(workspace, 0) >= count
-            if not is_confirmed and now - sent_at <= ECHO_HOLD_S:
-                return now - sent_at > MAX_ECHO_S
+        while waiting and now - waiting[0][0] > ECHO_HOLD_S:
             waiting.popleft()
-        return False
-
-    def forget(self, workspace):
-        """Forget a workspace whose bucket is removed."""
-        self.confirmed.pop(workspace, None)
+        late = 0
+        for sent_at, _, _ in waiting:
+            if now - sent_at <= MAX_ECHO_S:
+                break
+            late += 1
+        return late >= MIN_LATE_ECHOES
 
 
 class RateLimiter:
@@ -493,4 +502,3 @@
             if bucket.sent:
                 self.sent_before[workspace] = bucket.sent
             self.remote_counts.forget(("workspace", workspace))
-            self.echo.forget(workspace)
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -5,7 +5,6 @@
 
 from .health import TargetHealth
 from .latency import LatencySample
-from .open_sends import OpenSends
 
 # Expected losses that differ by less than this count as equal. The random choice
 # among such targets keeps hosts with the same view from picking the same one.
@@ -23,12 +22,7 @@
 MAX_EXPLORE_FAILURE_PROBABILITY = 0.70
 # Below this failure probability a target counts as available capacity.
 HEALTHY_FAILURE_PROBABILITY = 0.5
-# Expected loss by each open send at a target. At the start of a gray phase the requests
-# that are sent before one is overdue are lost together. The value is measured in
-# docs/design/open-sends.md.
-OPEN_SEND_LOSS = 0.02
-# A remote send without a reported end is dropped from the count after this time, until
-# the configuration gives the time-outs of its routes.
+# A remote send without a reported end is dropped from the count after this time.
 REMOTE_SEND_TIMEOUT_S = 1.0
 # Targets among which a request's target is chosen: some at random, and some to which
 # the host has an idle connection.
@@ -56,8 +50,8 @@
         When this host last sent the target a request.
     cold_until : float
         Monotonic seconds.
-    remote_sends : OpenSends
-        Open sends of other hosts.
+    remote_in_flight : dict
+        Start times of other hosts' sends, by host id and send number.
     """
 
     entry: object
@@ -67,59 +61,50 @@
     own_in_flight: int = 0
     last_own_send_at: float = float("-inf")
     cold_until: float = 0.0
-    remote_sends: OpenSends = field(
-        default_factory=lambda: OpenSends(REMOTE_SEND_TIMEOUT_S)
-    )
+    remote_in_flight: dict = field(default_factory=dict)
 
-    def record_remote_send(self, send, started_at, now=None):
-        """Count a send of another host and drop those that timed out.
-
-        Parameters
-        ----------
-        now : float, optional
-            If the start became known later than ``started_at``.
-        """
-        self.remote_sends.start(send, started_at, started_at if now is None else now)
+    def record_remote_send(self, send, now):
+        """Count a send of another host and drop those that timed out."""
+        in_flight = self.remote_in_flight
+        in_flight[send] = now
+        oldest = next(iter(in_flight))
+        while now - in_flight[oldest] >= REMOTE_SEND_TIMEOUT_S:
+            del in_flight[oldest]
+            oldest = next(iter(in_flight))
 
     def record_remote_end(self, send):
         """Remove a send of another host that has ended."""
-        self.remote_sends.end(send)
-
-    def open_sends(self, now):
-        """Return the number of sends of all hosts that have not ended."""
-        return self.own_in_flight + self.remote_sends.count(now)
+        self.remote_in_flight.pop(send, None)
 
-    def in_system(self, now, drain_s, open_sends=None):
+    def in_system(self, now, drain_s):
         """Return an estimate of the requests at the target.
 
         Parameters
         ----------
         drain_s : float
             Mean seconds that a request stays at the target.
-        open_sends : int, optional
-            The result of ``open_sends``, if it is known.
         """
         age_s = max(0.0, now - self.reported_at)
         reported = self.reported_in_system * exp(-age_s / max(0.01, drain_s))
-        if open_sends is None:
-            open_sends = self.open_sends(now)
-        return max(reported, float(open_sends))
+        sends = self.own_in_flight
+        for sent_at in self.remote_in_flight.values():
+            if now - sent_at < REMOTE_SEND_TIMEOUT_S:
+                sends += 1
+        return max(reported, float(sends))
 
     def has_free_slot(self, now, drain_s):
         """Return whether one more request would start without waiting."""
         return self.in_system(now, drain_s) < self.entry.slots
 
-    def wait_s(self, now, service_s, open_sends=None):
+    def wait_s(self, now, service_s):
         """Return the seconds that one more request is expected to wait.
 
         Parameters
         ----------
         service_s : float
             Mean seconds that a request takes once it has a slot.
-        open_sends : int, optional
-            The result of ``open_sends``, if it is known.
         """
-        excess = self.in_system(now, service_s, open_sends) + 1.0 - self.entry.slots
+        excess = self.in_system(now, service_s) + 1.0 - self.entry.slots
         return max(0.0, excess) * service_s / self.entry.slots
 
     def staleness_s(self, now):
@@ -193,11 +178,9 @@
         """Return the expected share of a request's credit lost at a target."""
         objective_s = request_profile.objective_s
         fails = view.health.failure_probability(now)
-        open_sends = view.open_sends(now)
-        wait_s = view.wait_s(now, latencies.service_s, open_sends)
+        wait_s = view.wait_s(now, latencies.service_s)
         late = latencies.share_above(objective_s - wait_s) if wait_s else 0.0
         loss = fails + (1.0 - fails) * LATE_LOSS * late
-        loss += OPEN_SEND_LOSS * open_sends
         # A queue also delays requests that still meet the objective.
         loss += 0.1 * wait_s / objective_s
         if view.cold_until > now:
--- a/oleanderroute/entry/caller_protocol.py
+++ b/oleanderroute/entry/caller_protocol.py
@@ -434,6 +434,10 @@
         if self.lingering or self.transport.is_closing():
             return
         self.flow.resume_reading()
+        if self.flow.write_paused:
+            # The next request waits until this answer is read. Otherwise the answers of
+            # a caller that reads none would pile up.
+            self.flow.pause_reading()
         self.deadline = self.clock.now() + self.limits.idle_s
 
     def deadline_passed(self, now):
@@ -487,6 +491,7 @@
         if self.lingering:
             self.deadline = self.clock.now() + LINGER_S
         elif self.cycle is None or self.cycle.response_complete:
+            self.flow.resume_reading()
             self.deadline = self.clock.now() + self.limits.idle_s
         else:
             self.deadline = inf
--- a/oleanderroute/entry/server.py
+++ b/oleanderroute/entry/server.py
@@ -119,6 +119,9 @@
             # Accepted sockets inherit it. It bounds what one read can deliver before
             # the budget is asked, and the kernel's buffers.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            # A large buffer is freed in large steps, and a caller that reads slowly
+            # would look as if it read nothing.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, RECEIVE_BUFFER_BYTES)
         self.port = sock.getsockname()[1]
         self.config.load()
         self.server.lifespan = self.config.lifespan_class(self.config)
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -317,9 +317,17 @@
             connections.open.discard(connection)
             connection.retire()
 
-    async def warm(self, target, count):
+    async def warm(self, target, count, is_check=False):
         """Open connections until ``count`` are idle or the limit is reached.
 
+        Parameters
+        ----------
+        target : TargetEntry
+        count : int
+        is_check : bool
+            Whether to ignore the limit on the connections to all targets: a single
+            connection that shows whether the target runs.
+
         Raises
         ------
         ConnectFailed, ConnectionLimitReached
@@ -328,7 +336,8 @@
         while len(connections.idle) < count:
             if len(connections.open) + connections.opening >= connections.limit:
                 return
-            self.make_room()
+            if not is_check:
+                self.make_room()
             connections.idle.append(await connections.connect(self.connect_timeout_s))
 
     def check_idle(self):
--- a/oleanderroute/host/crashes.py
+++ b/oleanderroute/host/crashes.py
@@ -96,7 +96,7 @@
         """Record a crash if the target refuses a new connection."""
         await asyncio.sleep(CONFIRM_DELAY_S)
         try:
-            await self.pool.warm(entry, 1)
+            await self.pool.warm(entry, 1, is_check=True)
         except ConnectFailed:
             self.record_own_crash(crash)
         except ConnectionLimitReached:
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -7,7 +7,6 @@
 from ..decisions.floor import ServiceFloor
 from ..decisions.health import (
     INTERIM_FINDINGS,
-    LONG_OVERDUE_QUANTILE,
     SERVED_FINDINGS,
     START_FINDINGS,
     UNSERVED_FINDINGS,
@@ -17,7 +16,7 @@
 from ..decisions.latency import LatencySample
 from ..decisions.replica import StoreReplica
 from ..decisions.restrictions import TargetRestrictions
-from ..decisions.selection import REMOTE_SEND_TIMEOUT_S, TargetView
+from ..decisions.selection import TargetView
 from ..decisions.send_counts import RemoteSendCounts
 from ..decisions.standing_queue import StandingQueue
 from ..errors import DocumentError
@@ -80,8 +79,6 @@
         self.allowances = {}
         self.floors = {}
         self.remote_counts = RemoteSendCounts()
-        # Longest time for which a send of another host counts without a reported end.
-        self.send_timeout_s = REMOTE_SEND_TIMEOUT_S
         self.restrictions = TargetRestrictions()
         self.rate_limits = RateLimits(self)
         self.change_log = ChangeLog()
@@ -166,9 +163,6 @@
             return
         self.configuration = found
         self.routes = PrefixRoutes(found.routes)
-        self.send_timeout_s = max(
-            (route.timeout_s for route in found.routes), default=REMOTE_SEND_TIMEOUT_S
-        )
         self.update_limits()
         events.CONFIGURATION_IN_FORCE.log(
             version=found.version,
@@ -428,7 +422,7 @@
         now = self.clock.now()
         is_own = sender is None
         if not is_own:
-            self.count_remote_send(view, finding, sender, sent_at, now, count)
+            self.count_remote_send(view, finding, sender, now, count)
         before = view.health.gray_probability
         view.health.observe(finding, sent_at, now, is_own)
         if load is not None:
@@ -464,14 +458,13 @@
         """Count a send of this host for the limit on repeats."""
         self.allowance_of(service).record(is_repeat, True, self.clock.now())
 
-    def count_remote_send(self, view, finding, sender, sent_at, now, count):
+    def count_remote_send(self, view, finding, sender, now, count):
         """Count first and repeated sends, and the sends in flight of other hosts."""
         if finding not in START_FINDINGS:
             if finding not in INTERIM_FINDINGS:
                 view.record_remote_end(sender)
             return
-        view.remote_sends.timeout_s = self.send_timeout_s
-        view.record_remote_send(sender, sent_at, now)
+        view.record_remote_send(sender, now)
         is_repeat = finding is Finding.RESENT
         service = view.entry.service
         amount = 1
@@ -499,17 +492,6 @@
                 finding=finding.name.lower(),
             )
 
-    def count_overdue_sends(self):
-        """Return how many sends of other hosts are overdue, by service."""
-        now = self.clock.now()
-        counts = {}
-        for service, views in self.services.items():
-            age_s = self.latencies_of(service).quantile(LONG_OVERDUE_QUANTILE)
-            counts[service] = 0
-            for view in views.values():
-                counts[service] += view.remote_sends.count_older(age_s, now)
-        return counts
-
     def count_gray_targets(self):
         """Return how many targets are estimated to be in a gray phase."""
         count = 0
--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -67,12 +67,6 @@
             "Sends of other hosts since the start whose own finding did not arrive.",
             registry=registry,
         )
-        self.overdue_sends = Gauge(
-            "oleander_host_overdue_sends",
-            "Open sends of other hosts that have lasted longer than 98 of 100 good "
-            "answers, by service.",
-            registry=registry,
-        )
         self.replica_differences = Gauge(
             "oleander_host_replica_differences",
             "Times since the start that another host at the same revision of the "
--- a/oleanderroute/host/shedding.py
+++ b/oleanderroute/host/shedding.py
@@ -6,7 +6,7 @@
 
 from .. import events
 from ..decisions.load_shedding import LoadShedder, RequestNeed
-from .refusal import HostReason, refusal_answer
+from .refusal import RETRY_AFTER_S, HostReason, refusal_answer
 
 
 def request_need(exchange, now):
@@ -70,7 +70,9 @@
         need = request_need(exchange, now)
         if shedder.is_hopeless(need, now):
             # A request with more time can be served after the present wait.
-            return refusal_answer(HostReason.SHED, retry_after_s=exchange.wait_s)
+            return refusal_answer(
+                HostReason.SHED, retry_after_s=max(RETRY_AFTER_S, exchange.wait_s)
+            )
         was_standing = shedder.queue.is_standing
         result = shedder.admit(need, waits_s, latencies.service_s, now)
         if shedder.queue.is_standing != was_standing:
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -62,8 +62,6 @@
             changes=changes - self.belief_changes,
         )
         self.belief_changes = changes
-        for service, count in self.view.count_overdue_sends().items():
-            self.metrics.overdue_sends.set({"service": service}, count)
 
     def summarize_rate_limits(self):
         """Log the admissions under the rate limits of workspaces, if there were any."""
