Rate limits: tell lost announcements from slow links; tests of the review's findings

While timely echoes show that the links are not slow, three announcements in a row must be missing until the other hosts count as lost; otherwise one is enough, and a late echo always is.

--- a/features/api_keys.feature
+++ b/features/api_keys.feature
@@ -100,3 +100,7 @@
   Scenario: api keys: Large configurations are decoded in steps and in order
     Then api keys: large and small versions that arrive together are put in force in order, and other tasks run meanwhile
     And api keys: of 20 large versions that arrive together the last is in force at the end, and those left out are logged
+
+  # Guards against a value that ends the decoding of all later versions.
+  Scenario: api keys: A value with an unexpected error does not hold up later versions
+    Then api keys: a large version whose decoding raises an unexpected error is refused, and the next one is put in force
--- a/features/load_shedding.feature
+++ b/features/load_shedding.feature
@@ -79,3 +79,11 @@
   # Guards against an order that does not reach the answers, the log and the metrics.
   Scenario: load shedding: An overloaded host refuses less urgent requests
     Then load shedding: of 200 requests of each priority at full targets a host refuses more of priority 2 than of 0, with event 700 and counts by priority
+
+  # Guards against a change for deployments that did not ask for the order.
+  Scenario: load shedding: Without workspaces the standing queue decides
+    Then load shedding: without workspaces a host with a standing queue refuses both priorities alike and no hopeless request
+
+  # Guards against a rarely used route with a short objective that sheds its whole service.
+  Scenario: load shedding: A rare kind does not set the order of magnitude
+    Then load shedding: a kind with 3 of 300 requests and an objective of 0.05 s does not have the others refused at a wait of 0.06 s
--- a/features/memory_budget.feature
+++ b/features/memory_budget.feature
@@ -66,3 +66,7 @@
       | given up    |
       | too large   |
       | refused     |
+
+  # Guards against answers that pile up on a connection whose caller reads none of them.
+  Scenario: memory budget: Unread answers keep further requests of their connection waiting
+    Then memory budget: of 150 requests on one connection whose answers of 60000 bytes stay unread at most 500000 bytes of answers are held
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -48,6 +48,10 @@
   Scenario: rate limits: A request that is not sent returns its token
     Then rate limits: requests without any send return their tokens, sent ones do not
 
+  # Guards against a request that ends without an answer, or a token of another workspace.
+  Scenario: rate limits: A key changes its workspace while its request is on the way
+    Then rate limits: a request admitted for one workspace is announced for it and returns its token to it, whatever its key names meanwhile
+
   # Guards against admissions that callers collect with slow bodies and use at once.
   Scenario: rate limits: A slow body is admitted again
     Then rate limits: a request whose body takes 2 s is judged again before it is sent
--- a/features/steps/api_keys_steps.py
+++ b/features/steps/api_keys_steps.py
@@ -378,3 +378,39 @@
     assert in_force == sorted(in_force) and in_force[-1] == count, in_force
     assert len(in_force) + len(skipped) == count, (in_force, skipped)
     assert skipped
+
+
+@then(
+    "api keys: a large version whose decoding raises an unexpected error is refused, "
+    "and the next one is put in force"
+)
+def step_unexpected(context):
+    many = [workspace(f"w{number}", f"KEY-{number}") for number in range(1200)]
+    view = make_view(SystemClock())
+    records = []
+    add_destinations(records.append)
+    decode = documents.decode_in_steps
+
+    def fail_once(value):
+        view.configuration_queue.formats.decode_in_steps = decode
+        raise TypeError("KEY-1")
+
+    async def scenario():
+        view.apply([StoreItem(documents.CONFIGURATION_KEY, 1, encode(1, many))])
+        view.configuration_queue.formats = SimpleNamespace(
+            decode_configuration=documents.decode_configuration,
+            decode_in_steps=fail_once,
+        )
+        for version in (2, 3):
+            value = encode(version, many)
+            view.apply([StoreItem(documents.CONFIGURATION_KEY, version, value)])
+        while view.configuration_queue.task is not None:
+            await asyncio.sleep(0)
+
+    try:
+        asyncio.run(scenario())
+    finally:
+        remove_destination(records.append)
+    reasons = [record["reason"] for record in records if record.get("event") == 631]
+    assert reasons == ["unexpected TypeError"], reasons
+    assert view.configuration.version == 3
--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -121,6 +121,7 @@
     # Its uptime is long enough for the whole fixed allowance.
     allowance = RepeatAllowance(0.2, 100.0, 10.0, now - 100.0)
     view = SimpleNamespace(
+        configuration=None,
         usable_targets=lambda service: views,
         latencies_of=lambda service: latencies,
         queue_of=lambda service: queue,
--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -31,6 +31,9 @@
 from oleanderroute.host.hostmetrics import HostMetrics
 from oleanderroute.host.shedding import RequestShedding
 
+# The order takes effect with workspaces in the configuration.
+WITH_WORKSPACES = SimpleNamespace(workspaces={"acme": None})
+
 
 def make_shedder():
     return LoadShedder(StandingQueue(), WorkEstimate(), random.Random(1))
@@ -212,6 +215,7 @@
     async def run_requests():
         pool = ScriptedPool(["200"])
         forwarder = make_sender(pool)
+        forwarder.view.configuration = WITH_WORKSPACES
         now = SystemClock().now()
         for _ in range(30):
             forwarder.target_sender.work_estimates.of("s").add("r", 2 * DEADLINE_S, now)
@@ -235,7 +239,9 @@
     queue = StandingQueue()
     latencies = LatencySample()
     view = SimpleNamespace(
-        queue_of=lambda service: queue, latencies_of=lambda service: latencies
+        configuration=WITH_WORKSPACES,
+        queue_of=lambda service: queue,
+        latencies_of=lambda service: latencies,
     )
     targets = []
     for number in range(4):
@@ -273,3 +279,45 @@
     for priority, times in refused.items():
         labels = {"service": "s", "priority": str(priority), "reason": "no-room"}
         assert metrics.shed.get(labels) == times
+
+
+@then(
+    "load shedding: without workspaces a host with a standing queue refuses both "
+    "priorities alike and no hopeless request"
+)
+def step_without_workspaces(context):
+    async def run_requests():
+        forwarder = make_sender(ScriptedPool(["200"] * 2))
+        now = SystemClock().now()
+        for _ in range(30):
+            forwarder.target_sender.work_estimates.of("s").add("r", 2 * DEADLINE_S, now)
+        answers = [await forwarder.run(make_exchange("once"))]
+        queue = forwarder.view.queue_of("s")
+        queue.should_refuse = lambda wait_s, objective_s, now: True
+        for priority in (0, 2):
+            exchange = make_exchange("once")
+            exchange.route = replace(exchange.route, priority=priority)
+            answers.append(await forwarder.run(exchange))
+        return answers
+
+    served, *refused = asyncio.run(run_requests())
+    assert served.status == 200, served
+    assert [answer.reason for answer in refused] == ["no-room"] * 2, refused
+
+
+@then(
+    "load shedding: a kind with {rare:d} of {count:d} requests and an objective of "
+    "{objective:g} s does not have the others refused at a wait of {wait:g} s"
+)
+def step_rare_kind(context, rare, count, objective, wait):
+    shedder = make_shedder()
+    now = 100.0
+    refused = 0
+    for number in range(count):
+        now += 0.1
+        need = RequestNeed("bulk", 1, 3.0, 9.0)
+        refused += not shedder.admit(need, [wait], 0.15, now).is_admitted
+        if number % (count // rare) == count // rare - 1:
+            shedder.admit(RequestNeed("rare", 1, objective, 1.0), [wait], 0.15, now)
+    assert shedder.is_ordered
+    assert refused == 0, refused
--- a/features/steps/memory_budget_steps.py
+++ b/features/steps/memory_budget_steps.py
@@ -1,6 +1,7 @@
 """Steps for the memory budget, without a network."""
 
 import asyncio
+import socket
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -22,6 +23,7 @@
     ForwardedBody,
     MemoryPressure,
 )
+from oleanderroute.entry.server import CallerServer
 from oleanderroute.entry.target_pool import ConnectionLimitReached, TargetPool
 from oleanderroute.errors import AnswerTimeout
 from oleanderroute.host.limited_stream import LimitedStream
@@ -349,3 +351,48 @@
         raise AssertionError("a connection above the limit")
 
     asyncio.run(fill())
+
+
+class LargeAnswers:
+    """Answers each request at once with a body of a fixed size, and counts them."""
+
+    def __init__(self, size):
+        self.size = size
+        self.count = 0
+
+    async def __call__(self, scope, receive, send):
+        headers = [(b"content-length", b"%d" % self.size)]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"x" * self.size})
+        self.count += 1
+
+
+@then(
+    "memory budget: of {count:d} requests on one connection whose answers of {size:d} "
+    "bytes stay unread at most {most:d} bytes of answers are held"
+)
+def step_unread_answers(context, count, size, most):
+    async def send_requests():
+        application = LargeAnswers(size)
+        server = CallerServer(application, "127.0.0.1", 0)
+        await server.start()
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * KIB)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, ("127.0.0.1", server.port))
+            for number in range(1, count + 1):
+                await loop.sock_sendall(caller, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                for _ in range(50):
+                    if application.count >= number:
+                        break
+                    await asyncio.sleep(0.002)
+                if application.count < number:
+                    break
+            held = 0
+            for connection in server.connections:
+                held += connection.transport.get_write_buffer_size()
+            assert held <= most, (held, application.count)
+        await server.finish(0.1)
+
+    asyncio.run(send_requests())
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -26,6 +26,7 @@
 from oleanderroute.host.outbox import MAX_QUEUED, Outbox
 from oleanderroute.host.proxy import HostProxy
 from oleanderroute.host.routes import PrefixRoutes
+from oleanderroute.outcome import CallerOutcome
 from oleanderroute.peer.codec import encode_message
 from oleanderroute.peer.gen.oleander_gossip.ttypes import Gossip, Observation
 from oleanderroute.platform import documents
@@ -133,7 +134,7 @@
         if self.is_sent:
             self.announced.append(self.view.rate_limits.count_first_send(exchange))
             exchange.sends.append(None)
-        return SimpleNamespace(status=200)
+        return SimpleNamespace(status=200, outcome=CallerOutcome.ANSWERED)
 
     async def read_chunk(self):
         self.body_reads += 1
@@ -398,3 +399,30 @@
         newest[observation.workspace] = observation.workspace_count
     expected = {f"w{n % names}": n + 1 for n in range(starts - names, starts)}
     assert newest == expected, newest
+
+
+@then(
+    "rate limits: a request admitted for one workspace is announced for it and returns "
+    "its token to it, whatever its key names meanwhile"
+)
+def step_key_changes(context):
+    for meanwhile in (None, WorkspacePolicy("otra", 10.0, 5.0)):
+        host = OneHost()
+        host.call()
+        host.clock.advance(10.0)
+        limits = host.view.rate_limits
+        bucket = limits.limiter.buckets["acme"]
+        bucket.refill(host.clock.now(), host.clock.now())
+        tokens = bucket.tokens
+        exchange = SimpleNamespace(
+            workspace=POLICY, admitted_policy=None, admitted_at=None, sends=[]
+        )
+        assert limits.admit(exchange) is None
+        exchange.workspace = meanwhile
+        limits.give_back(exchange)
+        assert bucket.tokens == tokens, (bucket.tokens, tokens)
+        exchange.workspace = POLICY
+        assert limits.admit(exchange) is None
+        exchange.workspace = meanwhile
+        assert limits.count_first_send(exchange)[0] == "acme"
+        assert list(limits.limiter.buckets) == ["acme"]
--- a/oleanderroute/decisions/load_shedding.py
+++ b/oleanderroute/decisions/load_shedding.py
@@ -38,7 +38,8 @@
 # target whose queue of 4 places per slot is full. Full targets refuse in the order of
 # arrival.
 MAX_REFERENCE_WORK = 2.0
-# A kind with less of the demanded work than this does not set the reference wait.
+# A kind with less than this share of the work of the largest kind does not set
+# the reference wait.
 MIN_REFERENCE_SHARE = 0.05
 # Steps of the fixed point of the served share; it changes by under 0.01 after them.
 SHARE_STEPS = 8
@@ -99,6 +100,11 @@
     value: float = 1.0
     admitted_share: float = 1.0
 
+    @property
+    def demanded_s(self):
+        """Seconds of work that the recent requests demand."""
+        return self.count * self.work_s
+
     @property
     def density(self):
         """Value per second of work."""
@@ -303,10 +309,10 @@
 
         Otherwise a rare kind with a short objective would have the others refused.
         """
-        total = sum(kind.count * kind.work_s for kind in self.kinds.values())
+        most = max(kind.demanded_s for kind in self.kinds.values())
         found = []
         for kind in self.kinds.values():
-            if kind.count * kind.work_s >= MIN_REFERENCE_SHARE * total:
+            if kind.demanded_s >= MIN_REFERENCE_SHARE * most:
                 found.append(kind.objective_s)
         return min(found)
 
--- a/oleanderroute/decisions/rate_limit.py
+++ b/oleanderroute/decisions/rate_limit.py
@@ -45,12 +45,13 @@
 REMOVED_HOLD_S = 60.0
 # Own announcements that are not back from the hub after this time are late.
 MAX_ECHO_S = 0.35
-# Single datagrams get lost, which says nothing about the others. So many announcements
-# in a row show that those of the others may be missing here, too.
+# Single datagrams get lost, which says nothing about the others. While a timely echo
+# shows that the links are not slow, so many announcements in a row must be missing.
 MIN_LATE_ECHOES = 3
+TIMELY_ECHO_HOLD_S = 3.0
 MAX_WAITING_ECHOES = 200
-# The echo may be lost, and no later announcement may confirm it.
-ECHO_HOLD_S = 1.0
+# An echo that takes longer counts as lost.
+ECHO_HOLD_S = 2.0
 MAX_RETURN_S = 10.0
 # A bucket without demand for this time is full or nearly so, and forgotten.
 IDLE_S = 60.0
@@ -391,6 +392,22 @@
         return now - self.used_at > IDLE_S
 
 
+@dataclass(slots=True)
+class SentAnnouncement:
+    """An announcement of this host whose echo is awaited.
+
+    Attributes
+    ----------
+    is_passed : bool
+        Whether a later announcement came back first. This one is then lost or late.
+    """
+
+    sent_at: float
+    workspace: str
+    count: int
+    is_passed: bool = False
+
+
 class EchoCheck:
     """Tells from the hub's echo whether this host's announcements arrive in time.
 
@@ -400,35 +417,49 @@
 
     def __init__(self):
         self.waiting = deque(maxlen=MAX_WAITING_ECHOES)
+        self.late_until = float("-inf")
+        # When an echo last came back in time.
+        self.timely_at = float("-inf")
 
     def record_sent(self, workspace, count, now):
         """Record an announcement."""
-        self.waiting.append((now, workspace, count))
+        self.waiting.append(SentAnnouncement(now, workspace, count))
 
-    def record_echo(self, workspace, count):
+    def record_echo(self, workspace, count, now):
         """Record that the hub forwarded an announcement of this host.
 
-        Earlier ones that have not come back are lost: later ones of their workspaces
-        make up for them.
+        Later announcements of a workspace make up for the lost ones before them.
         """
-        passed = 0
-        for index, (_, sent_workspace, sent_count) in enumerate(self.waiting, 1):
-            if sent_workspace == workspace and sent_count <= count:
-                passed = index
-        for _ in range(passed):
-            self.waiting.popleft()
+        found = None
+        for sent in self.waiting:
+            if sent.workspace == workspace and sent.count == count:
+                found = sent
+                break
+        if found is None:
+            return
+        if now - found.sent_at > MAX_ECHO_S:
+            self.late_until = now + ECHO_HOLD_S
+            self.timely_at = float("-inf")
+        else:
+            self.timely_at = now
+        for sent in self.waiting:
+            if sent is found:
+                break
+            sent.is_passed = True
+        self.waiting.remove(found)
 
     def is_late(self, now):
-        """Tell whether the newest announcements have not come back in time."""
+        """Tell whether announcements come back late, or the newest ones not at all."""
         waiting = self.waiting
-        while waiting and now - waiting[0][0] > ECHO_HOLD_S:
+        while waiting and now - waiting[0].sent_at > ECHO_HOLD_S:
             waiting.popleft()
         late = 0
-        for sent_at, _, _ in waiting:
-            if now - sent_at <= MAX_ECHO_S:
+        for sent in waiting:
+            if now - sent.sent_at <= MAX_ECHO_S:
                 break
-            late += 1
-        return late >= MIN_LATE_ECHOES
+            late += not sent.is_passed
+        is_timely = now - self.timely_at <= TIMELY_ECHO_HOLD_S
+        return now < self.late_until or late >= (MIN_LATE_ECHOES if is_timely else 1)
 
 
 class RateLimiter:
--- a/oleanderroute/host/rate_limits.py
+++ b/oleanderroute/host/rate_limits.py
@@ -158,7 +158,7 @@
 
     def record_echo(self, workspace, count):
         """Record that the hub forwarded an announcement of this host."""
-        self.limiter.echo.record_echo(workspace, count)
+        self.limiter.echo.record_echo(workspace, count, self.clock.now())
 
     # Contact
 
