--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -111,7 +111,6 @@
             {KEY: policy.name},
         )
         self.view.routes = PrefixRoutes((ROUTE,))
-        self.policy = policy
         self.is_sent = is_sent
         self.body_reads = 0
         self.body_s = 0.0
@@ -225,7 +224,10 @@
 def step_no_limit(context):
     for policy in (None, WorkspacePolicy("acme", 0.0, 7.0)):
         host = OneHost()
-        host.policy = policy
+        workspaces = host.view.configuration.workspaces
+        workspaces.clear()
+        if policy is not None:
+            workspaces[policy.name] = policy
         for _ in range(50):
             assert host.call().status == 200
         assert set(host.announced) == {None}
