--- a/features/floor.feature
+++ b/features/floor.feature
@@ -31,3 +31,8 @@
   # Guards against orders that are sent to doubtful targets although hardly any fails.
   Scenario: A calm service keeps no floor
     Then floor: with 5 of 100 requests failing no target is chosen for the floor
+
+  # Guards against sound targets of a small service that get nothing for 2 s while the rest
+  # of its targets, which are the larger part, are in use (3 of 6 sound ones of 33).
+  Scenario: A failing service leaves out few of its targets
+    Then floor: with 15 of 100 requests failing and 5 of 33 targets unused one of these is chosen
--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -172,3 +172,21 @@
     for _ in range(count):
         floor.record(True, 11.0)
     assert floor.choose([unused] * 10, 11.0) is unused
+
+
+@then(
+    "floor: with {failed:d} of {ended:d} requests failing and {unused:d} of {count:d} "
+    "targets unused one of these is chosen"
+)
+def step_small_service(context, failed, ended, unused, count):
+    now = 10.0
+    floor = ServiceFloor(0.7, random.Random(1))
+    for number in range(ended):
+        floor.record(number % 100 < failed, now)
+    views = []
+    for number in range(count):
+        view = TargetView(entry(f"t{number}"), TargetHealth(now))
+        view.last_own_send_at = now - (2.0 if number < unused else 0.1)
+        views.append(view)
+    chosen = floor.choose(views, now)
+    assert chosen in views[:unused], chosen
--- a/oleanderroute/decisions/floor.py
+++ b/oleanderroute/decisions/floor.py
@@ -13,8 +13,9 @@
 MIN_FAILURE_SHARE = 0.09
 # A target counts as used within this time after a request of any host.
 USE_INTERVAL_S = 1.2
-# Kept beyond the floor, as hosts see a part of the targets and of their requests.
-MARGIN_SHARE = 0.1
+# Kept beyond the floor, as hosts see a part of the targets and of their requests. Those
+# that are left out may be among the few sound targets of a small service.
+MARGIN_SHARE = 0.25
 
 
 class ServiceFloor:
