--- a/review/backend_2.py
+++ b/review/backend_2.py
@@ -10,12 +10,18 @@
 import base64
 import itertools
 import json
+import os
 import random
+import signal
 import sys
 import time
 import urllib.request
 
+CRASHED = 70
 HEARTBEAT_S = 1.5
+# Connections that wait to be accepted.
+BACKLOG = 100
+DARK_BACKLOG = 1
 WRONG_PAGE = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 32\r\n\r\n"
     b"<html>Welcome to server</html>\r\n"
@@ -178,6 +184,11 @@
         backend = self.backend
         options = backend.options
         backend.write_event("runs", id=attempt_id, path=path)
+        if "/poison/" in path and options.crash == "exit":
+            os._exit(CRASHED)
+        if "/poison/" in path and options.crash == "dark":
+            # Its connections stay open, and it answers nothing any more.
+            os.kill(os.getpid(), signal.SIGSTOP)
         await asyncio.sleep(options.work_s * backend.rng.uniform(0.5, 1.5))
         content = f"{backend.id} ran {attempt_id}".encode()
         number = next(backend.numbers)
@@ -226,7 +237,10 @@
 async def serve(options):
     """Serve until the process is killed."""
     backend = Backend(options)
-    server = await asyncio.start_server(backend.serve, "127.0.0.1", options.port)
+    backlog = DARK_BACKLOG if options.crash == "dark" else BACKLOG
+    server = await asyncio.start_server(
+        backend.serve, "127.0.0.1", options.port, backlog=backlog
+    )
     await asyncio.to_thread(backend.register)
     backend.write_event("ready")
     async with asyncio.TaskGroup() as group:
@@ -247,6 +261,8 @@
     parser.add_argument("--work-s", type=float, default=0.05)
     # Share of the requests that it refuses as full.
     parser.add_argument("--full-share", type=float, default=0.0)
+    # How a request with "/poison/" in its path crashes it: exit, or dark (silent).
+    parser.add_argument("--crash", default="exit")
     # Length of a spell of wrong bytes, and of the pause after it.
     parser.add_argument("--spell-s", type=float, default=5.0)
     parser.add_argument("--pause-s", type=float, default=2.0)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 9, after the build of the deploy file: they
+# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file: they
 # are Python programs, so they are compiled in memory and the libraries are looked up.
 cd "$(dirname "$0")/.." || exit 2
 [ -d target/deps ] || { echo "target/deps is missing: run the deploy build" >&2; exit 2; }
@@ -14,7 +14,7 @@
     importlib.import_module(name)
 review = pathlib.Path("review")
 programs = [review / "fleet_2.py", review / "backend_2.py"]
-programs += [review / str(number) / "case.py" for number in range(6, 10)]
+programs += [review / str(number) / "case.py" for number in range(6, 11)]
 for path in programs:
     if path.exists():
         compile(path.read_bytes(), str(path), "exec")
