--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,11 +10,11 @@
 from fleet_2 import configuration, route, run_case  # noqa: E402
 
 ZONES = ("mvd-a", "mvd-b", "mvd-c")
-BACKENDS = 5
+BACKENDS = 4
 FAULTY = 2
 WRONG_SHARE = "0.02"
 # Now and then a sound answer ends its connection.
-CLOSE_SHARE = "0.1"
+CLOSE_SHARE = "0.15"
 ORDERS_PER_S = 90
 LENGTH_S = 95.0
 
