Answers: a success needs its target's seal and the request's id on every connection

An answer without an id was taken on a new connection and nothing looked for the seal.

Cause: whose answer it is was judged by the connection's age and the echoed id alone, in the parser. Change: the dialect judges it in one place (find_origin), from the head alone, for new and used connections, all framings and HEAD. A success needs the request's id, one id only, a seal, no content encoding and no mark of a rejection. Rejected answers are logged (663).

The platform's stand-in of a target now echoes the id in all its answers, as targets do; the answers of kept_connections_steps bear the seal that targets put on successes. No check was relaxed.

--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -35,3 +35,23 @@
       | unframed  | head | closed |
       | unframed  | head | reset  |
       | unframed  | body | reset  |
+
+  # Guards against bytes of a faulty target that reach a caller as a success, because an
+  # answer was judged by its connection's age and not by its seal and id (MIXED).
+  Scenario Outline: A success with <marks> is not passed on
+    Then kept connections: no success with <marks> is passed on, of any kind
+
+    Examples:
+      | marks                  |
+      | nothing                |
+      | an id, no seal         |
+      | an id, an empty seal   |
+      | a seal, no id          |
+      | a seal, an empty id    |
+      | two ids                |
+      | two ids, its own first |
+      | a rejection's mark     |
+      | an encoding            |
+
+  Scenario: A success with seal and id is passed on, whatever its framing
+    Then kept connections: each kind of success with seal and id is passed on
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -30,6 +30,8 @@
 def answer(status, attempt_id, body, extra=b""):
     """Return the bytes of an answer; without an id if that is None."""
     head = b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n" % (status, len(body))
+    if 200 <= status < 300:
+        head += b"X-Response-Seal: s\r\n"
     if attempt_id is not None:
         head += b"X-Attempt-Id: %b\r\n" % attempt_id
     return head + extra + b"\r\n" + body
@@ -145,3 +147,92 @@
             await check(cut)
 
     asyncio.run(check_all())
+
+
+# Heads of successes that are not the target's answer to the request "a1", or not its
+# body as it was made; the framing follows.
+SEAL = b"X-Response-Seal: s\r\n"
+OWN_ID = b"X-Attempt-Id: a1\r\n"
+UNPROVEN_HEADS = {
+    "nothing": b"",
+    "an id, no seal": OWN_ID,
+    "an id, an empty seal": OWN_ID + b"X-Response-Seal:\r\n",
+    "a seal, no id": SEAL,
+    "a seal, an empty id": SEAL + b"X-Attempt-Id:\r\n",
+    "two ids": SEAL + b"X-Attempt-Id: other\r\n" + OWN_ID,
+    "two ids, its own first": SEAL + OWN_ID + b"X-Attempt-Id: other\r\n",
+    "a rejection's mark": SEAL + OWN_ID + b"X-Not-Executed: 1\r\n",
+    "an encoding": SEAL + OWN_ID + b"Content-Encoding: gzip\r\n",
+}
+LONG_BODY = b"x" * 200_000
+KINDS = {
+    "short sized": (b"POST", b"Content-Length: 5\r\n\r\nhello"),
+    "long sized": (b"POST", b"Content-Length: 200000\r\n\r\n" + LONG_BODY),
+    "chunked": (b"POST", b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    "unframed": (b"POST", b"\r\n" + LONG_BODY),
+    "headless": (b"HEAD", b"Content-Length: 5\r\n\r\n"),
+    "empty": (b"POST", b"\r\n"),
+}
+
+
+async def exchange_kind(pool, target, kind, attempt_id):
+    """Return the answer to a request, with its whole body read."""
+    method, _ = KINDS[kind]
+    request = OutgoingRequest(
+        method.decode(),
+        b"/order/1",
+        [(b"host", b"a"), (b"x-attempt-id", attempt_id)],
+        request_id=attempt_id,
+    )
+    async with asyncio.timeout(LIMIT_S):
+        found = await pool.exchange(target, request, LIMIT_S, LIMIT_S)
+        body = b"".join([chunk async for chunk in found.chunks()])
+    return found, body
+
+
+def success(kind, marks):
+    """Return the bytes of a success with ``marks`` among its headers."""
+    status = b"204 No Content" if kind == "empty" else b"200 OK"
+    return b"HTTP/1.1 " + status + b"\r\n" + marks + KINDS[kind][1]
+
+
+@then("kept connections: a {kind} success with {marks} on a {age} connection is {end}")
+def step_success(context, kind, marks, age, end):
+    heads = {**UNPROVEN_HEADS, "seal and id": SEAL + OWN_ID}
+
+    async def script(request, writer):
+        if b"x-attempt-id: a0" in request.lower:
+            writer.write(answer(200, b"a0", b""))
+            return
+        writer.write(success(kind, heads[marks]))
+        await writer.drain()
+        return "close"
+
+    async def work(pool, fake):
+        if age == "used":
+            await exchange(pool, fake.target, b"a0")
+        try:
+            _, body = await exchange_kind(pool, fake.target, kind, b"a1")
+        except MalformedAnswer as error:
+            assert end == "refused" and error.bytes_sent, error
+        else:
+            assert end == "passed on", (kind, marks, body[:20])
+            if KINDS[kind][0] == b"POST" and kind != "empty":
+                assert body in (b"hello", LONG_BODY), body[:20]
+        assert fake.connections == 1, fake.connections
+
+    asyncio.run(with_target(script, work))
+
+
+@then("kept connections: no success with {marks} is passed on, of any kind")
+def step_no_unproven_success(context, marks):
+    for kind in KINDS:
+        for age in ("new", "used"):
+            step_success(context, kind, marks, age, "refused")
+
+
+@then("kept connections: each kind of success with seal and id is passed on")
+def step_proven_success(context):
+    for kind in KINDS:
+        for age in ("new", "used"):
+            step_success(context, kind, "seal and id", age, "passed on")
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -4,7 +4,7 @@
 
 from ..errors import MalformedAnswer
 from .answer_stream import BUFFER_BYTES, BufferedStream
-from .dialect import DEFAULT_DIALECT
+from .dialect import DEFAULT_DIALECT, AnswerOrigin
 from .messages import DROPPED_FROM_ANSWER, TargetAnswer, answer_headers
 
 MAX_HEADERS = 200
@@ -133,22 +133,19 @@
         return length
 
     def is_stray(self, answer, has_no_end):
-        """Return whether the answer belongs to an earlier request.
+        """Return whether the answer belongs to another request and is skipped.
 
         Raises
         ------
         MalformedAnswer
-            If no other answer can follow on the connection.
+            If the answer is not the target's to this request, and no other answer
+            can follow on the connection.
         """
-        expected = self.request_id
-        if expected is None:
-            return False
-        if answer.echoed_id is None:
-            if self.is_reused and self.dialect.echoes_ids:
-                raise MalformedAnswer("answer without the id of its request", True)
-            return False
-        if answer.echoed_id == expected:
+        origin = self.dialect.find_origin(answer, self.request_id, self.is_reused)
+        if origin is AnswerOrigin.OWN:
             return False
+        if origin is AnswerOrigin.UNKNOWN:
+            raise MalformedAnswer("not proven to be the answer to this request", True)
         if has_no_end or answer.closes:
             raise MalformedAnswer("answer to another request", True)
         return True
--- a/oleanderroute/entry/dialect.py
+++ b/oleanderroute/entry/dialect.py
@@ -1,6 +1,17 @@
 """Interpretation of the headers in which targets report their state."""
 
 from abc import ABC, abstractmethod
+from enum import Enum
+
+
+class AnswerOrigin(Enum):
+    """Whose answer arrived where the answer to a request was expected."""
+
+    OWN = "own"
+    # The answer to another request; the expected one may follow.
+    EARLIER = "earlier"
+    # Not an answer of the target to any request, or one that can't be attributed.
+    UNKNOWN = "unknown"
 
 
 class TargetDialect(ABC):
@@ -8,19 +19,15 @@
 
     Attributes
     ----------
-    names : frozenset of bytes
+    header_names : frozenset of bytes
         Names of the headers that ``read_header`` handles, in lower case.
     close_ends_answer : bool
         Whether a body may be delimited by the end of the connection. An incomplete
         body is then recognized only by a connection reset.
-    echoes_ids : bool
-        Whether targets echo the id of a request in its answer. An answer without an id
-        on a connection that was used before then belongs to no known request.
     """
 
     header_names = frozenset()
     close_ends_answer = False
-    echoes_ids = False
 
     @abstractmethod
     def read_header(self, answer, name, value):
@@ -30,6 +37,22 @@
     def finish(self, answer):
         """Evaluate ``answer`` after all headers are read."""
 
+    @abstractmethod
+    def find_origin(self, answer, request_id, is_reused):
+        """Return the ``AnswerOrigin`` of an answer, from its head alone.
+
+        It is asked once for each answer, before any byte of it goes to the caller.
+
+        Parameters
+        ----------
+        answer : TargetAnswer
+            With all headers read.
+        request_id : bytes or None
+            Id of the request that waits for an answer.
+        is_reused : bool
+            Whether the connection has carried an earlier request.
+        """
+
 
 class DefaultDialect(TargetDialect):
     """The default headers, described in docs/callers.md."""
@@ -46,5 +69,9 @@
     def finish(self, answer):
         """Do nothing: no header depends on another."""
 
+    def find_origin(self, answer, request_id, is_reused):
+        """Accept every answer: these targets mark none as theirs."""
+        return AnswerOrigin.OWN
+
 
 DEFAULT_DIALECT = DefaultDialect()
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -379,6 +379,12 @@
         Running requests, waiting requests and slots, as reported by the target.
     echoed_id : bytes or None
         Request id that the target echoed in the answer.
+    has_two_ids : bool
+        Whether the answer echoed two different request ids.
+    is_sealed : bool
+        Whether the answer bears the mark of its target, if its dialect reads it.
+    is_encoded : bool
+        Whether the body has a content encoding, if its dialect reads it.
     retry_after : bytes or None
         The ``Retry-After`` header as the target sent it, if its dialect reads it.
     """
@@ -392,9 +398,17 @@
     misdirected: bool = False
     load: tuple[int, int, int] | None = None
     echoed_id: bytes | None = None
+    has_two_ids: bool = False
+    is_sealed: bool = False
+    is_encoded: bool = False
     retry_after: bytes | None = None
     stream: AnswerStream | None = field(default=None, repr=False)
 
+    @property
+    def is_success(self):
+        """Whether the status is 2xx."""
+        return 200 <= self.status < 300
+
     def chunks(self):
         """Return an async iterator of the body's bytes."""
         if self.stream is None:
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -647,6 +647,14 @@
         "left_out",
     ),
 )
+ANSWER_REJECTED = define(
+    663,
+    "answer_rejected",
+    "What a target sent in place of an answer to a request was not passed on.",
+    Level.WARNING,
+    ("request", "target", "reason", "left_out"),
+    "Find out what sends these bytes; the request may have run.",
+)
 ANSWER_CUT = define(
     662,
     "answer_cut",
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -25,12 +25,16 @@
 from .exchange import SendRecord, SendResult
 from .findings import FIRST_SERVER_ERROR, SHED_STATUS, OverdueReporter
 from .limited_stream import LimitedStream
+from .requestlog import LogRateLimiter
 
 # These statuses tell a caller that the request did not run, which only a proof by the
 # target permits.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 MAX_LOGGED_HINT_BYTES = 40
+MAX_LOGGED_REASON = 100
+# Targets may send bytes that are no answers at any rate.
+REJECTED_LINES_PER_S = 10.0
 
 
 class KeyRefused(TargetError):
@@ -92,6 +96,7 @@
         self.api_keys = api_keys
         self.numbers = itertools.count(1)
         self.work_estimates = WorkEstimates()
+        self.rejected_lines = LogRateLimiter(REJECTED_LINES_PER_S, clock)
 
     def key_refusal(self, exchange):
         """Return why the configuration in force forbids a send, or None."""
@@ -226,7 +231,8 @@
             return SendOutcome(SendResult.NOT_SENT, error=error)
         except (TimeoutError, FirstByteTimeout, BetweenBytesTimeout):
             return SendOutcome(SendResult.TIMEOUT)
-        except MalformedAnswer:
+        except MalformedAnswer as error:
+            self.log_rejected(exchange, entry, error)
             return SendOutcome(SendResult.MALFORMED)
         except TargetError:
             self.crashes.check_for_crash(exchange, entry, sent_at)
@@ -236,6 +242,17 @@
             return SendOutcome(SendResult.NOT_RUN, answer)
         return SendOutcome(SendResult.ANSWERED, answer)
 
+    def log_rejected(self, exchange, entry, error):
+        """Log bytes of a target that are no answer to a request."""
+        if not self.rejected_lines.try_acquire():
+            return
+        events.ANSWER_REJECTED.log(
+            request=exchange.attempt_id,
+            target=entry.target_id,
+            reason=str(error)[:MAX_LOGGED_REASON],
+            left_out=self.rejected_lines.pop_suppressed(),
+        )
+
     def make_request(self, exchange, entry, remaining_s):
         """Return the request in the form for one target."""
         request = exchange.request
--- a/oleanderroute/platform/headers.py
+++ b/oleanderroute/platform/headers.py
@@ -1,7 +1,7 @@
 """The platform's headers on requests to targets and on their answers."""
 
 from ..entry.credentials import AUTHORIZATION, contains_any, credentials_of
-from ..entry.dialect import TargetDialect
+from ..entry.dialect import AnswerOrigin, TargetDialect
 from ..entry.messages import HOP_BY_HOP, end_to_end_headers
 
 ATTEMPT_ID = b"x-attempt-id"
@@ -11,6 +11,9 @@
 WORKSPACE = b"x-tenant"
 HOST = b"host"
 NOT_EXECUTED = b"x-not-executed"
+# A target puts this on the answers that it makes itself.
+SEAL = b"x-response-seal"
+CONTENT_ENCODING = b"content-encoding"
 # A target that will stop sends this with the value 1 in all its answers.
 LEAVING = b"server-leaving"
 # With 503, the seconds in which the target wants no request from the same host.
@@ -35,10 +38,17 @@
     """Interprets the platform's headers on a target's answer."""
 
     header_names = frozenset(
-        {NOT_EXECUTED, BACKEND_LOAD, ATTEMPT_ID, LEAVING, RETRY_AFTER}
+        {
+            NOT_EXECUTED,
+            BACKEND_LOAD,
+            ATTEMPT_ID,
+            LEAVING,
+            RETRY_AFTER,
+            SEAL,
+            CONTENT_ENCODING,
+        }
     )
     close_ends_answer = True
-    echoes_ids = True
 
     def read_header(self, answer, name, value):
         """Store the meaning of a platform header on ``answer``."""
@@ -50,7 +60,13 @@
             answer.draining = value == b"1"
         elif name == RETRY_AFTER:
             answer.retry_after = value
-        else:
+        elif name == SEAL:
+            answer.is_sealed = value != b""
+        elif name == CONTENT_ENCODING:
+            answer.is_encoded = value.lower() != b"identity"
+        elif value != b"":
+            if answer.echoed_id not in (None, value):
+                answer.has_two_ids = True
             answer.echoed_id = value
 
     def finish(self, answer):
@@ -59,6 +75,29 @@
             answer.not_started = True
             answer.misdirected = True
 
+    def find_origin(self, answer, request_id, is_reused):
+        """Attribute an answer by the id that it echoes and, if a success, its seal.
+
+        A failure without an id is accepted on a new connection, as a target may reject
+        a request before it has read the id. On a used connection it could be an
+        earlier rejection, and the request may have run.
+        """
+        if answer.has_two_ids:
+            return AnswerOrigin.UNKNOWN
+        if answer.echoed_id is not None:
+            if answer.echoed_id != request_id:
+                return AnswerOrigin.EARLIER
+        elif request_id is not None and (is_reused or answer.is_success):
+            return AnswerOrigin.UNKNOWN
+        if answer.is_success and not is_proven_success(answer):
+            return AnswerOrigin.UNKNOWN
+        return AnswerOrigin.OWN
+
+
+def is_proven_success(answer):
+    """Tell whether a success bears the marks of a run, and its body as it was made."""
+    return answer.is_sealed and not answer.is_encoded and not answer.not_started
+
 
 def parse_load(value):
     """Return (running, waiting, slots), or None for a malformed value."""
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -30,16 +30,16 @@
 # Of each mode without end: how the answer begins, and what is sent again and again.
 PIECE = 64 * 1024
 CHUNK = b"%x\r\n%b\r\n" % (PIECE, b"x" * PIECE)
-SEALED_HEAD = f"HTTP/1.1 200 OK\r\nX-Response-Seal: {SEAL}\r\n".encode()
-CHUNKED_HEAD = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+# Follows the head of a success, which bears seal and id; None: nothing precedes it.
 ENDLESS = {
-    "endless-garbage": (b"", b"\x00\xff" * PIECE),
-    "endless-head": (SEALED_HEAD + b"X-Long: ", b"x" * PIECE),
-    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
-    "endless-chunks": (CHUNKED_HEAD, CHUNK),
-    "endless-close": (SEALED_HEAD + b"\r\n", b"x" * PIECE),
-    "endless-trailer": (CHUNKED_HEAD + b"1\r\nx\r\n0\r\nX-Long: ", b"x" * PIECE),
-    "endless-extension": (CHUNKED_HEAD + b"1;long=", b"x" * PIECE),
+    "endless-garbage": (None, b"\x00\xff" * PIECE),
+    "endless-head": (b"X-Long: ", b"x" * PIECE),
+    "endless-interim": (None, b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "endless-chunks": (CHUNKED, CHUNK),
+    "endless-close": (b"\r\n", b"x" * PIECE),
+    "endless-trailer": (CHUNKED + b"1\r\nx\r\n0\r\nX-Long: ", b"x" * PIECE),
+    "endless-extension": (CHUNKED + b"1;long=", b"x" * PIECE),
 }
 ENDLESS_PAUSE_S = 0.002
 
@@ -128,7 +128,8 @@
 
     async def send_endless(self, writer, attempt_id, start, piece):
         """Send bytes until the other side closes the connection."""
-        writer.write(start)
+        if start is not None:
+            writer.write(sealed_head(attempt_id) + start)
         try:
             while True:
                 writer.write(piece)
@@ -146,8 +147,8 @@
             writer.transport.abort()
             return False
         elif mode == "unframed":
-            head = f"HTTP/1.1 200 OK\r\nX-Response-Seal: {SEAL}\r\n\r\n"
-            writer.write(head.encode() + content)
+            attempt_id = headers.get("x-attempt-id", "")
+            writer.write(sealed_head(attempt_id) + b"\r\n" + content)
             return False
         elif mode == "stray":
             stray = {**headers, "x-attempt-id": "another"}
@@ -184,6 +185,13 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+def sealed_head(attempt_id):
+    """Return the start of a success, up to its framing."""
+    lines = ["HTTP/1.1 200 OK", f"X-Response-Seal: {SEAL}"]
+    lines.append(f"X-Attempt-Id: {attempt_id}")
+    return "\r\n".join(lines).encode() + b"\r\n"
+
+
 async def read_head(reader):
     """Return method, path and headers in lower case."""
     text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
