Repeats: hosts that start know what the fleet has spent in the window before

Cause: a process that starts has counted no repeat, and its limit grows with its age from zero, so the window of the targets gets the repeats of the processes before on top.

Change: while the fleet repeats much, one watcher of the store keeps a record of first sends and repeats there, ahead of the count by a step of an eighth of the limit, under a lease of the window plus 2 s. A host takes what it reads in its first copy for sent just before. The virtual store of the tests now keeps several leases; no check changed.

--- a/features/steps/thin_links_steps.py
+++ b/features/steps/thin_links_steps.py
@@ -65,6 +65,10 @@
     "thin links: {domains:d} failure domain of {hosts:d} hosts on {links} links, with "
     "{targets:d} targets"
 )
+@given(
+    "thin links: {domains:d} failure domains with {targets:d} targets, each of "
+    "{hosts:d} hosts on {links} links"
+)
 def step_fleet(context, domains, hosts, links, targets=0):
     context.fleet = VirtualFleet(
         link_speeds(hosts, links), domains, configuration(1, list(ROUTES)), targets
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -20,6 +20,7 @@
 from oleanderroute.host.follower import StoreFollower
 from oleanderroute.host.gossip import GossipTask
 from oleanderroute.host.model import HostSettings, ItemPage, StoreItem
+from oleanderroute.host.repeat_records import RepeatRecorder
 from oleanderroute.platform import documents
 
 LATENCY_S = 0.0015
@@ -250,7 +251,8 @@
         self.loop = loop
         self.shared = shared
         self.address = address
-        self.key = None
+        # Keys by lease. No lease expires here.
+        self.keys = {}
 
     async def answer(self, items):
         """Return a page once its items, in base64, have passed the host's link."""
@@ -291,17 +293,22 @@
             await asyncio.sleep(0.01)
 
     async def create_lease(self, ttl_s):
-        return 1
+        self.shared.calls += 1
+        lease = len(self.keys) + 1
+        self.keys[lease] = None
+        return lease
 
     async def renew_lease(self, lease):
         return None
 
     async def end_lease(self, lease):
         await asyncio.sleep(0.004)
-        self.shared.remove(self.key)
+        self.shared.remove(self.keys[lease])
 
     async def write(self, key, value, lease):
-        self.key = key
+        self.shared.calls += 1
+        self.check_refusal()
+        self.keys[lease] = key
         return self.shared.put(key, value)
 
 
@@ -417,6 +424,7 @@
             gossip=gossip,
             follower=follower,
             copies=CopyServer(view, clock),
+            recorder=RepeatRecorder(view, store, gossip.membership, documents, clock),
             settings=settings,
             clock=clock,
             pool=pool,
@@ -475,6 +483,7 @@
             host.gossip.run(),
             host.follower.run(),
             host.follower.keep_registered(),
+            host.recorder.run(),
             self.keep_house(host),
         )
 
--- a/oleanderroute/decisions/allowance.py
+++ b/oleanderroute/decisions/allowance.py
@@ -60,7 +60,8 @@
     window_s : float
     started_at : float
         Monotonic seconds. A host that has just started has not seen the others'
-        sends in the window, so its part of the allowance grows with its age.
+        sends in the window, so its part of the allowance grows with its age, unless
+        it knows what was sent before.
     """
 
     def __init__(self, ratio, allowance, window_s, started_at):
@@ -70,6 +71,9 @@
         self.started_at = started_at
         self.all_sends = SendWindow(window_s)
         self.own_sends = SendWindow(window_s)
+        # What the hosts may have sent in the window before this host started.
+        self.earlier_sends = SendWindow(window_s)
+        self.is_history_known = False
         # When sends were counted that had not been announced in time.
         self.late_sends = deque()
         # First sends and repeats of this host since its start.
@@ -82,6 +86,33 @@
         self.window_s = window_s
         self.all_sends.window_s = window_s
         self.own_sends.window_s = window_s
+        self.earlier_sends.window_s = window_s
+
+    def assume_earlier(self, spent):
+        """Take sends for sent in the window before this host started.
+
+        The repeats may all have been sent just before; the first sends are spread
+        over the window.
+
+        Parameters
+        ----------
+        spent : SpentRepeats
+            Replaces what was assumed before.
+        """
+        self.is_history_known = True
+        self.earlier_sends = SendWindow(self.window_s)
+        self.earlier_sends.add(True, self.started_at, spent.repeats)
+        for number in range(spent.first_sends):
+            age_s = self.window_s * (1.0 - number / spent.first_sends)
+            self.earlier_sends.add(False, self.started_at - age_s)
+
+    def first_send_count(self):
+        """Return the first sends of all hosts that are counted in the window."""
+        return len(self.all_sends.first_sends) + len(self.earlier_sends.first_sends)
+
+    def repeat_count(self):
+        """Return the repeats of all hosts that are counted in the window."""
+        return len(self.all_sends.repeats) + len(self.earlier_sends.repeats)
 
     def record(self, is_repeat, is_own, now, amount=1):
         """Count some sends of this or another host.
@@ -102,6 +133,7 @@
         """Drop the sends that have left the window."""
         self.all_sends.expire(now)
         self.own_sends.expire(now)
+        self.earlier_sends.expire(now)
         while self.late_sends and self.late_sends[0] <= now - self.window_s:
             self.late_sends.popleft()
 
@@ -125,11 +157,13 @@
 
     def limit(self, reachable_hosts, known_hosts, now):
         """Return the repeats that all reachable hosts may send in a window."""
-        age_share = min(1.0, (now - self.started_at) / self.window_s)
+        age_share = 1.0
+        if not self.is_history_known:
+            age_share = min(1.0, (now - self.started_at) / self.window_s)
         fixed = (
             self.allowance * min(1.0, reachable_hosts / max(1, known_hosts)) * age_share
         )
-        return SAFETY_FACTOR * (self.ratio * len(self.all_sends.first_sends) + fixed)
+        return SAFETY_FACTOR * (self.ratio * self.first_send_count() + fixed)
 
     def own_limit(self, known_hosts, now):
         """Return the repeats that this host may send in a window."""
@@ -162,6 +196,6 @@
         limit = usable_share * self.limit(reachable_hosts, known_hosts, now)
         if is_hedge:
             limit *= 1.0 - HEDGE_RESERVE_SHARE
-        if len(self.all_sends.repeats) + 1 > limit:
+        if self.repeat_count() + 1 > limit:
             return False
         return len(self.own_sends.repeats) + 1 <= self.own_limit(known_hosts, now)
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -488,6 +488,7 @@
         "repeats",
         "own_first",
         "own_repeats",
+        "earlier_repeats",
         "missed",
         "limit",
         "live",
@@ -628,6 +629,29 @@
     Level.INFO,
     ("left_out",),
 )
+REPEATS_RECORDED = define(
+    653,
+    "repeats_recorded",
+    "The store has a record of the repeats of the fleet, for hosts that start later.",
+    Level.INFO,
+    ("services", "repeats"),
+)
+REPEAT_RECORD_DELAYED = define(
+    654,
+    "repeat_record_delayed",
+    "The store did not take a record of repeats; a host that starts now knows of none.",
+    Level.WARNING,
+    ("reason",),
+    "See the lines about the store. Avoid restarts of all hosts until it is back.",
+)
+REPEAT_RECORD_REFUSED = define(
+    655,
+    "repeat_record_refused",
+    "A record of repeats can't be read; it is left out.",
+    Level.WARNING,
+    ("host", "reason"),
+    "Find out which writer made the record.",
+)
 REQUEST_FINISHED = define(
     660,
     "request_finished",
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -23,6 +23,7 @@
 from .change_log import ChangeLog
 from .configuration_queue import ConfigurationQueue
 from .rate_limits import RateLimits
+from .repeat_records import RepeatRecords
 from .routes import PrefixRoutes
 
 # A longer gap between two confirmations by the store is taken for an outage of the
@@ -81,6 +82,7 @@
         self.remote_counts = RemoteSendCounts()
         self.restrictions = TargetRestrictions()
         self.rate_limits = RateLimits(self)
+        self.repeat_records = RepeatRecords(self)
         self.change_log = ChangeLog()
         # Crossings of a gray probability of 0.5 since the start.
         self.belief_changes = 0
@@ -150,6 +152,8 @@
             self.target_changed(item, source)
         elif item.key.startswith(formats.HOST_PREFIX):
             self.host_changed(item)
+        elif item.key.startswith(formats.REPEATS_PREFIX):
+            self.repeat_records.record_changed(item)
 
     def configuration_changed(self, found, item, source):
         """Apply a decoded configuration unless it is not newer."""
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -109,7 +109,7 @@
         prefixes = (
             formats.CONFIGURATION_KEY,
             formats.TARGET_PREFIX,
-            formats.HOST_PREFIX,
+            formats.FLEET_PREFIX,
         )
         reads = []
         for prefix in prefixes:
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -32,6 +32,7 @@
 from .hostmetrics import HostMetrics
 from .logsink import LogSink
 from .proxy import HostProxy
+from .repeat_records import RepeatRecorder
 from .requestlog import RequestLog
 from .resource_limits import MemoryReports, ResourceLimits, process_bytes
 from .summary import SummaryLog
@@ -94,6 +95,9 @@
         self.follower = StoreFollower(
             self.view, self.store, self.gossip, documents, self.clock, self.rng
         )
+        self.repeat_recorder = RepeatRecorder(
+            self.view, self.store, self.gossip.membership, documents, self.clock
+        )
         self.copies = CopyServer(self.view, self.clock)
         self.summary = SummaryLog(self.view, self.gossip, self.metrics)
         self.limits = ResourceLimits(settings, process_bytes())
@@ -200,6 +204,7 @@
             self.follower.run,
             self.follower.keep_registered,
             self.gossip.run,
+            self.repeat_recorder.run,
             self.keep_house,
         ):
             task = asyncio.ensure_future(
--- a/oleanderroute/host/membership.py
+++ b/oleanderroute/host/membership.py
@@ -121,6 +121,27 @@
                 found.append(hub)
         return found
 
+    def watcher_rank(self, now):
+        """Return the place of this host among those that watch the store.
+
+        Returns
+        -------
+        int or None
+            Failure domains with a live host whose name comes before that of this
+            host's; None if another host watches the store for this one.
+        """
+        own = self.settings
+        if self.watcher != own.host_id:
+            return None
+        self.update_domains()
+        rank = 0
+        for domain, hosts in self.domains.items():
+            if domain >= own.failure_domain:
+                continue
+            if any(self.is_alive(host_id, now) for host_id in hosts):
+                rank += 1
+        return rank
+
     def live_host_count(self):
         """Return the number of live hosts, including this host.
 
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -99,6 +99,7 @@
             repeats=len(counted.repeats),
             own_first=len(own.first_sends),
             own_repeats=len(own.repeats),
+            earlier_repeats=len(allowance.earlier_sends.repeats),
             missed=missed,
             limit=int(allowance.limit(live, known, now)),
             live=live,
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from ..decisions.spent_repeats import SpentRepeats
 from ..errors import DocumentError
 from ..host.model import (
     DEFAULT_PRIORITY,
@@ -22,8 +23,14 @@
 
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
-# Prefix of the keys under which the hosts of this fleet register.
-HOST_PREFIX = "oleanderroute/hosts/"
+# All keys that the hosts of this fleet write.
+FLEET_PREFIX = "oleanderroute/"
+# Prefix of the keys under which they register.
+HOST_PREFIX = FLEET_PREFIX + "hosts/"
+# Prefix of the keys under which they record how many repeats the fleet has spent.
+REPEATS_PREFIX = FLEET_PREFIX + "repeats/"
+# More sends in a window than these are taken for an error of the record.
+MAX_RECORDED_SENDS = 1_000_000
 
 # "upload" marks requests with large bodies, which must not run twice either.
 REPEATABILITY_BY_KIND = {
@@ -465,3 +472,40 @@
     if settings.link_mbps > 0.0:
         document["link_mbps"] = settings.link_mbps
     return HOST_PREFIX + settings.host_id, orjson.dumps(document)
+
+
+def decode_repeats(key, value):
+    """Decode the record of a host of how many repeats the fleet has spent.
+
+    Returns
+    -------
+    dict of ServiceName to SpentRepeats
+
+    Raises
+    ------
+    DocumentError
+    """
+    record = {}
+    for service, sends in parse_object(value, key).items():
+        path = f"{key}.{service}"
+        if not isinstance(sends, dict):
+            raise DocumentError(path, "not a JSON object")
+        counts = []
+        for name in ("first_sends", "repeats"):
+            count = sends.get(name)
+            counts.append(
+                bounded_number(count, int, 0, MAX_RECORDED_SENDS, f"{path}.{name}")
+            )
+        record[ServiceName(service)] = SpentRepeats(*counts)
+    return record
+
+
+def encode_repeats(host_id, record):
+    """Return the key and the value of a host's record of the fleet's repeats."""
+    document = {}
+    for service, spent in record.items():
+        document[service] = {
+            "first_sends": spent.first_sends,
+            "repeats": spent.repeats,
+        }
+    return REPEATS_PREFIX + host_id, orjson.dumps(document)
