Quarantine: silence, a body that breaks off and a closed answer can each be a crash

Cause: only a connection that ended before the head of an answer led to a check of the target. A timeout, a body that broke off or stalled, and an answer without a length that a crash had closed did not, and the last three cleared earlier crashes. The check took an idle connection for a sign of life.

Change: each of these is a suspicion; a check by a new connection decides: refused is a crash, unanswered twice a silent one, accepted none. With silent crashes three targets are needed, and silence counts only if it can have begun with the request (answers and overdue sends of all hosts) and the host hears others. A success is recorded once its body is whole. The fakes of the tests follow the new names (probe, check_*); no check was relaxed.

--- a/features/steps/host_sends_steps.py
+++ b/features/steps/host_sends_steps.py
@@ -26,10 +26,11 @@
     FirstByteTimeout,
     MalformedAnswer,
 )
-from oleanderroute.host.crashes import CONFIRM_DELAY_S, CrashTracker
+from oleanderroute.host.crashes import CrashTracker
 from oleanderroute.host.exchange import Exchange
 from oleanderroute.host.forwarder import RequestForwarder
 from oleanderroute.host.model import Destination, HostRoute, Repeatability
+from oleanderroute.host.target_checks import CONFIRM_DELAY_S
 from oleanderroute.host.target_sender import TargetSender
 
 TARGETS = 5
@@ -60,7 +61,9 @@
 ENDS = [*NOT_SENT, *RAN, *NOT_RUN, SILENT]
 NO_CRASHES = SimpleNamespace(
     is_refused=lambda exchange: False,
-    check_for_crash=lambda exchange, target, sent_at: None,
+    check_broken=lambda exchange, target, sent_at: None,
+    check_closed=lambda exchange, target, sent_at: None,
+    check_silent=lambda exchange, target, sent_at, noticed_at, span_s: None,
     record_success=lambda exchange: None,
 )
 MANY_EXAMPLES = settings(
@@ -102,10 +105,10 @@
     def has_idle(self, target_id):
         return False
 
-    async def warm(self, target, count, is_check=False):
+    async def probe(self, target):
         """Open a connection; refused by targets that have crashed."""
         if target.target_id in self.dead:
-            raise ConnectFailed("refused")
+            raise ConnectFailed("refused") from ConnectionRefusedError()
 
 
 def make_sender(pool, crashes=NO_CRASHES):
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -10,9 +10,12 @@
   // One target that crashed, or all of them once the fingerprint is refused. Empty if
   // a target has since served such a request.
   3: required list<string> target_ids
-  // Milliseconds since the request was sent, and since its connection broke.
+  // Milliseconds since the request was sent, and since its connection broke or its
+  // answer was overdue.
   4: optional i32 sent_ms
   5: optional i32 broke_ms
+  // Whether the target only fell silent; absent if its port refuses connections.
+  6: optional bool is_silent
 }
 
 // One finding about a target, from one host's own requests.
--- a/oleanderroute/decisions/quarantine.py
+++ b/oleanderroute/decisions/quarantine.py
@@ -6,9 +6,11 @@
 
 from ..ids import TargetId
 
-# Crashes of distinct targets, because one faulty target breaks the connection of any
-# request.
+# Crashes of distinct targets, one after another, because one faulty target breaks the
+# connection of any request.
 CRASHES_TO_REFUSE = 2
+# With crashes among them that were only noticed as silence, which has other causes too.
+SILENT_CRASHES_TO_REFUSE = 3
 REFUSAL_S = 300.0
 # Crashes that are further apart than this are not counted together.
 SUSPICION_WINDOW_S = 300.0
@@ -42,35 +44,65 @@
     exempt_ids: tuple[TargetId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCrash:
+    """A crash of a target while it ran a request; times in monotonic seconds.
+
+    Attributes
+    ----------
+    sent_at : float
+        When the request was sent; ``crashed_at`` if that is not known.
+    is_silent : bool
+        Whether the target only fell silent, without the end of a connection.
+    """
+
+    sent_at: float
+    crashed_at: float
+    is_silent: bool = False
+
+
 @dataclass(slots=True)
 class CrashRecord:
     """Target crashes under one fingerprint.
 
     Attributes
     ----------
-    crash_times : dict of TargetId to float
-        Monotonic time in seconds of the latest crash.
-    sequential_crashes : int
-        Crashes of distinct targets to which the request was sent after the previous
-        counted crash. Targets that crashed concurrently count once.
-    last_sequential_at : float
-        Time of the last crash that is counted in ``sequential_crashes``.
+    crashes : dict of TargetId to TargetCrash
+        The latest crash of each target.
     refused_until : float or None
     """
 
-    crash_times: dict
-    sequential_crashes: int = 0
-    last_sequential_at: float = float("-inf")
+    crashes: dict
     refused_until: float | None = None
 
-    def add(self, target_id, crashed_at, sent_at):
-        """Count a crash; ``sent_at`` is None if it is not known."""
-        is_other = target_id not in self.crash_times
-        is_sequential = sent_at is None or sent_at >= self.last_sequential_at
-        self.crash_times[target_id] = crashed_at
-        if is_other and is_sequential:
-            self.sequential_crashes += 1
-            self.last_sequential_at = crashed_at
+    @property
+    def crash_times(self):
+        """Monotonic time in seconds of the latest crash, by target."""
+        return {key: crash.crashed_at for key, crash in self.crashes.items()}
+
+    def count_sequential(self, has_silent):
+        """Return how many targets crashed one after another.
+
+        The request was sent to each after the crash before: targets that crash
+        together have another cause in common. The order in which hosts report crashes
+        does not matter.
+        """
+        count = 0
+        crashed_at = float("-inf")
+        for crash in sorted(self.crashes.values(), key=lambda each: each.crashed_at):
+            if crash.is_silent and not has_silent:
+                continue
+            if crash.sent_at < crashed_at:
+                continue
+            count += 1
+            crashed_at = crash.crashed_at
+        return count
+
+    def proves_cause(self):
+        """Tell whether the crashes suffice to refuse the request."""
+        if self.count_sequential(has_silent=False) >= CRASHES_TO_REFUSE:
+            return True
+        return self.count_sequential(has_silent=True) >= SILENT_CRASHES_TO_REFUSE
 
 
 class Quarantine:
@@ -107,30 +139,33 @@
         del self.refused[fingerprint]
         return False
 
-    def record_crash(self, fingerprint, target_id, now, sent_at=None):
-        """Count a connection that broke while the request ran on a target.
+    def record_crash(self, fingerprint, target_id, now, sent_at=None, is_silent=False):
+        """Count a target that crashed while it ran the request.
 
         Parameters
         ----------
         fingerprint : Fingerprint
         target_id : TargetId
         now : float
-            Monotonic seconds at which the connection broke.
+            Monotonic seconds of the crash.
         sent_at : float, optional
-            When the request was sent to the target. A crash whose request was sent
-            before the last counted crash is not counted again: one failure may end
+            When the request was sent to the target. Crashes whose requests were sent
+            before the crash before them are not counted again: one failure may end
             several targets that run the same request.
+        is_silent : bool
+            Whether the target only fell silent.
 
         Returns
         -------
         CrashVerdict
         """
+        crash = TargetCrash(now if sent_at is None else sent_at, now, is_silent)
         if self.is_refused(fingerprint, now):
-            return self._record_late_crash(fingerprint, target_id, now)
+            return self._record_late_crash(fingerprint, target_id, crash)
         record = self._suspected_record(fingerprint, now)
-        is_known = target_id in record.crash_times
-        record.add(target_id, now, sent_at)
-        if record.sequential_crashes >= CRASHES_TO_REFUSE:
+        is_known = target_id in record.crashes
+        record.crashes[target_id] = crash
+        if record.proves_cause():
             return self._refuse(fingerprint, record, now)
         reason = CrashReason.SAME_TARGET if is_known else CrashReason.FIRST_CRASH
         return CrashVerdict(False, reason, ())
@@ -165,17 +200,14 @@
         """
         if not self.is_refused(fingerprint, now):
             return False
-        return target_id in self.refused[fingerprint].crash_times
+        return target_id in self.refused[fingerprint].crashes
 
     def _suspected_record(self, fingerprint, now):
         # Re-insertion keeps the suspects in the order of their latest crash.
         record = self.suspected.pop(fingerprint, None) or CrashRecord({})
-        for target_id, crashed_at in list(record.crash_times.items()):
-            if now - crashed_at >= SUSPICION_WINDOW_S:
-                del record.crash_times[target_id]
-                record.sequential_crashes = min(
-                    record.sequential_crashes, len(record.crash_times)
-                )
+        for target_id, crash in list(record.crashes.items()):
+            if now - crash.crashed_at >= SUSPICION_WINDOW_S:
+                del record.crashes[target_id]
         self.suspected[fingerprint] = record
         self._evict_oldest(now)
         return record
@@ -185,14 +217,14 @@
         record.refused_until = now + REFUSAL_S
         self.refused[fingerprint] = record
         self._evict_oldest(now)
-        return CrashVerdict(True, CrashReason.QUARANTINED, tuple(record.crash_times))
+        return CrashVerdict(True, CrashReason.QUARANTINED, tuple(record.crashes))
 
-    def _record_late_crash(self, fingerprint, target_id, now):
+    def _record_late_crash(self, fingerprint, target_id, crash):
         """Count a crash by a run that started before the refusal."""
         record = self.refused[fingerprint]
-        is_known = target_id in record.crash_times
-        if not is_known and len(record.crash_times) < MAX_CRASHES_KEPT:
-            record.crash_times[target_id] = now
+        is_known = target_id in record.crashes
+        if not is_known and len(record.crashes) < MAX_CRASHES_KEPT:
+            record.crashes[target_id] = crash
         return CrashVerdict(True, CrashReason.QUARANTINED, (target_id,))
 
     def _evict_oldest(self, now):
--- a/oleanderroute/decisions/selection.py
+++ b/oleanderroute/decisions/selection.py
@@ -5,6 +5,7 @@
 
 from .health import TargetHealth
 from .latency import LatencySample
+from .target_silence import TargetSilence
 
 # Expected losses that differ by less than this count as equal. The random choice
 # among such targets keeps hosts with the same view from picking the same one.
@@ -52,6 +53,7 @@
         Monotonic seconds.
     remote_in_flight : dict
         Start times of other hosts' sends, by host id and send number.
+    silence : TargetSilence
     """
 
     entry: object
@@ -62,6 +64,7 @@
     last_own_send_at: float = float("-inf")
     cold_until: float = 0.0
     remote_in_flight: dict = field(default_factory=dict)
+    silence: TargetSilence = field(default_factory=TargetSilence)
 
     def record_remote_send(self, send, now):
         """Count a send of another host and drop those that timed out."""
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -127,6 +127,7 @@
         if self.has_no_body():
             length = 0
         self.until_close = length < 0 and not chunked and not self.has_no_body()
+        answer.ends_with_connection = self.until_close
         if self.until_close and (encoded or not dialect.close_ends_answer):
             raise MalformedAnswer("answer without length", True)
         self.stray = self.is_stray(answer, length < 0 and not chunked)
--- a/oleanderroute/entry/messages.py
+++ b/oleanderroute/entry/messages.py
@@ -377,6 +377,8 @@
         Whether the request reached another target than intended, which refused it.
     load : tuple of int or None
         Running requests, waiting requests and slots, as reported by the target.
+    ends_with_connection : bool
+        Whether the end of the connection ends the body.
     echoed_id : bytes or None
         Request id that the target echoed in the answer.
     has_two_ids : bool
@@ -397,6 +399,7 @@
     closes: bool = False
     misdirected: bool = False
     load: tuple[int, int, int] | None = None
+    ends_with_connection: bool = False
     echoed_id: bytes | None = None
     has_two_ids: bool = False
     is_sealed: bool = False
--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -91,14 +91,19 @@
         # Connections with a lower serial were opened before one that timed out.
         self.suspect_below_serial = 0
 
-    async def connect(self, timeout_s):
+    async def connect(self, timeout_s, is_check=False):
         """Open a connection.
 
+        Parameters
+        ----------
+        is_check : bool
+            Whether one connection beyond the limit is permitted.
+
         Raises
         ------
         ConnectFailed, ConnectionLimitReached
         """
-        if len(self.open) + self.opening >= self.limit:
+        if len(self.open) + self.opening >= self.limit + is_check:
             raise ConnectionLimitReached(self.limit)
         self.opening += 1
         try:
@@ -317,16 +322,31 @@
             connections.open.discard(connection)
             connection.retire()
 
-    async def warm(self, target, count, is_check=False):
+    async def probe(self, target):
+        """Open one connection, which shows whether the target accepts any.
+
+        It is used for requests afterwards if the target may have another one. The
+        limit on the connections to all targets does not apply.
+
+        Parameters
+        ----------
+        target : TargetEntry
+
+        Raises
+        ------
+        ConnectFailed, ConnectionLimitReached
+        """
+        connections = self.connections_to(target)
+        connection = await connections.connect(self.connect_timeout_s, is_check=True)
+        connections.connection_idle(connection)
+
+    async def warm(self, target, count):
         """Open connections until ``count`` are idle or the limit is reached.
 
         Parameters
         ----------
         target : TargetEntry
         count : int
-        is_check : bool
-            Whether to ignore the limit on the connections to all targets: a single
-            connection that shows whether the target runs.
 
         Raises
         ------
@@ -336,8 +356,7 @@
         while len(connections.idle) < count:
             if len(connections.open) + connections.opening >= connections.limit:
                 return
-            if not is_check:
-                self.make_room()
+            self.make_room()
             connections.idle.append(await connections.connect(self.connect_timeout_s))
 
     def check_idle(self):
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -589,8 +589,15 @@
     "fingerprint_quarantined",
     "A request ended the targets that ran it; it is refused from now on.",
     Level.WARNING,
-    ("fingerprint", "target", "request"),
-    "Ask the caller's owner to stop the request.",
+    ("fingerprint", "target"),
+    "Ask the caller's owner to stop the request; 656 names the ids of those that came.",
+)
+CRASH_COUNTED = define(
+    656,
+    "crash_counted",
+    "A target went down while it ran a request, which may have been the cause.",
+    Level.INFO,
+    ("request", "target", "fingerprint", "state", "is_answered", "is_overdue"),
 )
 QUEUE_TURNED = define(
     647,
--- a/oleanderroute/host/crashes.py
+++ b/oleanderroute/host/crashes.py
@@ -1,41 +1,13 @@
 """Counts, across the fleet, the crashes of targets by request fingerprint."""
 
-import asyncio
-from dataclasses import dataclass
-
 from .. import events
 from ..decisions.fingerprint import crash_fingerprint
 from ..decisions.quarantine import Quarantine
-from ..entry.target_pool import ConnectionLimitReached
-from ..errors import ConnectFailed
-from ..ids import Fingerprint, TargetId, Workspace
+from ..ids import Workspace
 from ..peer.gen.oleander_gossip.ttypes import CrashNotice
+from .target_checks import Suspicion, TargetChecks, TargetState
 
 NO_WORKSPACE = Workspace("")
-# A broken connection alone does not prove a crash: an answer may have been lost. A
-# target whose process has ended refuses new connections for some seconds.
-CONFIRM_DELAY_S = 0.05
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """A connection that broke while a target ran a request.
-
-    Attributes
-    ----------
-    sent_at : float or None
-        When the request was sent, in monotonic seconds; None if it is not known.
-    broken_at : float
-        Monotonic seconds.
-    request_id : str
-        Empty if another host sent the request.
-    """
-
-    fingerprint: Fingerprint
-    target_id: TargetId
-    sent_at: float | None
-    broken_at: float
-    request_id: str
 
 
 class CrashTracker:
@@ -50,14 +22,21 @@
     ----------
     on_crash : callable or None
         Called with each ``CrashNotice`` for the other hosts.
+    is_isolated : callable
+        Tells whether this host hears none of the other hosts. Its own path is then as
+        likely the cause as a target that is silent.
     """
 
     def __init__(self, pool, clock):
-        self.pool = pool
         self.clock = clock
         self.quarantine = Quarantine(clock)
         self.on_crash = None
-        self.confirmations = set()
+        self.is_isolated = lambda: False
+        self.checks = TargetChecks(pool, clock, self.conclude)
+
+    def close(self):
+        """Give the checks of targets up."""
+        self.checks.close()
 
     def fingerprint(self, exchange):
         """Return the fingerprint of an exchange's request."""
@@ -73,48 +52,90 @@
             return False
         return self.quarantine.is_refused(self.fingerprint(exchange), self.clock.now())
 
-    def check_for_crash(self, exchange, entry, sent_at):
-        """Count a broken connection as a crash if the target is down.
+    def check_broken(self, exchange, target, sent_at):
+        """Count a connection that ended early as a crash if the target is down.
 
         Parameters
         ----------
+        target : TargetView
         sent_at : float
             When the request was sent to the target.
         """
-        crash = Crash(
+        self.check(exchange, target, sent_at, self.clock.now())
+
+    def check_silent(self, exchange, target, sent_at, noticed_at, span_s):
+        """Count a request without an answer as a crash if the target is down.
+
+        Parameters
+        ----------
+        noticed_at : float
+            When the answer was overdue.
+        span_s : float
+            For how long a request may be at a target that works.
+        """
+        self.check(exchange, target, sent_at, noticed_at, span_s=span_s)
+
+    def check_closed(self, exchange, target, sent_at):
+        """Check a target that ended its answer by closing the connection.
+
+        A crash ends such an answer in the same way, so it counts as one if the target
+        is down, and as a success otherwise.
+        """
+        self.check(exchange, target, sent_at, self.clock.now(), is_served=True)
+
+    def check(self, exchange, target, sent_at, noticed_at, **others):
+        """Check a target for a request that may have crashed it."""
+        suspicion = Suspicion(
             self.fingerprint(exchange),
-            entry.target_id,
-            sent_at,
-            self.clock.now(),
             exchange.attempt_id,
+            sent_at,
+            noticed_at,
+            **others,
         )
-        task = asyncio.ensure_future(self.confirm(crash, entry))
-        self.confirmations.add(task)
-        task.add_done_callback(self.confirmations.discard)
-
-    async def confirm(self, crash, entry):
-        """Record a crash if the target refuses a new connection."""
-        await asyncio.sleep(CONFIRM_DELAY_S)
-        try:
-            await self.pool.warm(entry, 1, is_check=True)
-        except ConnectFailed:
-            self.record_own_crash(crash)
-        except ConnectionLimitReached:
-            # The connections in use show that the target still runs.
+        self.checks.add(target, suspicion)
+
+    def conclude(self, target, suspicion, state):
+        """Count a suspicion as a crash, or drop it, by what the check has shown."""
+        if state is TargetState.RUNNING:
+            if suspicion.is_served:
+                self.record_served(suspicion.fingerprint)
+            return
+        is_silent = state is TargetState.SILENT
+        span_s = suspicion.span_s
+        if span_s is not None:
+            if not target.silence.may_begin_at(suspicion.sent_at, span_s):
+                return
+        if is_silent and self.is_isolated():
             return
+        events.CRASH_COUNTED.log(
+            request=suspicion.request_id,
+            target=target.entry.target_id,
+            fingerprint=suspicion.fingerprint,
+            state=state.value,
+            is_answered=suspicion.is_served,
+            is_overdue=span_s is not None,
+        )
+        self.record_own_crash(suspicion, target.entry.target_id, is_silent)
 
-    def record_own_crash(self, crash):
+    def record_own_crash(self, suspicion, target_id, is_silent):
         """Count a crash and notify the other hosts."""
-        self.count_crash(crash)
+        self.count_crash(
+            suspicion.fingerprint,
+            target_id,
+            suspicion.noticed_at,
+            suspicion.sent_at,
+            is_silent,
+        )
         if self.on_crash is None:
             return
         now = self.clock.now()
         notice = CrashNotice(
             "",
-            crash.fingerprint,
-            [crash.target_id],
-            int((now - crash.sent_at) * 1000),
-            int((now - crash.broken_at) * 1000),
+            suspicion.fingerprint,
+            [target_id],
+            int((now - suspicion.sent_at) * 1000),
+            int((now - suspicion.noticed_at) * 1000),
+            is_silent or None,
         )
         self.on_crash(notice)
 
@@ -123,8 +144,11 @@
         quarantine = self.quarantine
         if not quarantine.suspected and not quarantine.refused:
             return
-        fingerprint = self.fingerprint(exchange)
-        if quarantine.clear_crashes(fingerprint) and self.on_crash is not None:
+        self.record_served(self.fingerprint(exchange))
+
+    def record_served(self, fingerprint):
+        """Clear the crashes of a fingerprint, and tell the other hosts."""
+        if self.quarantine.clear_crashes(fingerprint) and self.on_crash is not None:
             self.on_crash(CrashNotice("", fingerprint, []))
 
     def apply_notice(self, notice):
@@ -133,21 +157,23 @@
             self.quarantine.clear_crashes(notice.fingerprint)
         now = self.clock.now()
         sent_at = None if notice.sent_ms is None else now - notice.sent_ms / 1000
-        broken_at = now - (notice.broke_ms or 0) / 1000
+        crashed_at = now - (notice.broke_ms or 0) / 1000
         for target_id in notice.target_ids:
             self.count_crash(
-                Crash(notice.fingerprint, target_id, sent_at, broken_at, "")
+                notice.fingerprint,
+                target_id,
+                crashed_at,
+                sent_at,
+                bool(notice.is_silent),
             )
 
-    def count_crash(self, crash):
+    def count_crash(self, fingerprint, target_id, crashed_at, sent_at, is_silent):
         """Count one crash and log it if its fingerprint becomes quarantined."""
-        was_refused = self.quarantine.is_refused(crash.fingerprint, crash.broken_at)
+        was_refused = self.quarantine.is_refused(fingerprint, crashed_at)
         verdict = self.quarantine.record_crash(
-            crash.fingerprint, crash.target_id, crash.broken_at, crash.sent_at
+            fingerprint, target_id, crashed_at, sent_at, is_silent
         )
         if verdict.is_refused and not was_refused:
             events.FINGERPRINT_QUARANTINED.log(
-                fingerprint=crash.fingerprint,
-                target=crash.target_id,
-                request=crash.request_id,
+                fingerprint=fingerprint, target=target_id
             )
--- a/oleanderroute/host/findings.py
+++ b/oleanderroute/host/findings.py
@@ -19,6 +19,10 @@
 # Above this probability that the path from this host is down, a failure is attributed
 # to the path and not to the target.
 PATH_FAILURE_THRESHOLD = 0.5
+# A target is checked when a request has no answer for this multiple of what nearly all
+# answers take. Sooner, many requests that are only slow would cost a connection.
+SILENCE_MULTIPLE = 2.0
+MIN_SILENCE_S = 0.3
 
 
 class FindingReporter:
@@ -119,7 +123,7 @@
 
 
 class OverdueReporter:
-    """Reports twice that a request has no answer yet, after increasing delays.
+    """Reports twice that a request has no answer yet, and then has its target checked.
 
     Parameters
     ----------
@@ -128,14 +132,17 @@
     clock : Clock
     target : TargetView
     record : SendRecord
+    check_silent : callable
+        Called without arguments once the request is overdue for long.
     """
 
-    def __init__(self, reporter, latencies, clock, target, record):
+    def __init__(self, reporter, latencies, clock, target, record, check_silent):
         self.reporter = reporter
         self.latencies = latencies
         self.clock = clock
         self.target = target
         self.record = record
+        self.check_silent = check_silent
         self.overdue_finding = None
         loop = asyncio.get_running_loop()
         first_s = self.latencies.quantile(OVERDUE_QUANTILE)
@@ -144,10 +151,21 @@
     def on_overdue(self):
         """Publish the first overdue finding and schedule the second."""
         self.report_overdue(Finding.OVERDUE)
+        long_s = self.latencies.quantile(LONG_OVERDUE_QUANTILE)
+        self.schedule(long_s, self.on_long_overdue)
+
+    def on_long_overdue(self):
+        """Publish the second overdue finding and schedule the check."""
+        self.report_overdue(Finding.LONG_OVERDUE)
+        long_s = self.latencies.quantile(LONG_OVERDUE_QUANTILE)
+        silent_s = max(MIN_SILENCE_S, SILENCE_MULTIPLE * long_s)
+        self.schedule(silent_s, self.check_silent)
+
+    def schedule(self, after_s, call):
+        """Call back at a time after the start of the send, and not at once."""
         passed_s = self.clock.now() - self.record.started_at
-        wait_s = max(0.01, self.latencies.quantile(LONG_OVERDUE_QUANTILE) - passed_s)
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(wait_s, self.report_overdue, Finding.LONG_OVERDUE)
+        self.timer = loop.call_later(max(0.01, after_s - passed_s), call)
 
     def report_overdue(self, finding):
         """Publish an overdue finding."""
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -429,6 +429,7 @@
             self.count_remote_send(view, finding, sender, now, count)
         before = view.health.gray_probability
         view.health.observe(finding, sent_at, now, is_own)
+        view.silence.record(finding, sent_at)
         if load is not None:
             view.reported_in_system = float(load[0])
             view.reported_at = now
--- a/oleanderroute/host/limited_stream.py
+++ b/oleanderroute/host/limited_stream.py
@@ -19,13 +19,16 @@
     clock : Clock
     on_timeout : callable
         Called with the number of bytes passed on if the limit ends the body.
+    on_end : callable
+        Called with whether the body is complete, once the target has ended it.
     """
 
-    def __init__(self, stream, deadline_at, clock, on_timeout):
+    def __init__(self, stream, deadline_at, clock, on_timeout, on_end):
         self.stream = stream
         self.deadline_at = deadline_at
         self.clock = clock
         self.on_timeout = on_timeout
+        self.on_end = on_end
         self.passed_bytes = 0
         self.is_expired = False
         # Without a reader, nothing else would end the body: a target must not wait for
@@ -58,6 +61,7 @@
             if self.is_expired:
                 raise self.end() from error
             self.timer.cancel()
+            self.on_end(isinstance(error, StopAsyncIteration))
             raise
         self.passed_bytes += len(chunk)
         return chunk
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -89,6 +89,7 @@
         self.crashes = CrashTracker(self.pool, self.clock)
         self.gossip = GossipTask(self.view, self.crashes, self.clock)
         self.crashes.on_crash = self.gossip.report_crash
+        self.crashes.is_isolated = self.gossip.membership.is_isolated
         self.store = KvClient(
             settings.store_address, self.metrics.store_called, self.clock
         )
@@ -190,6 +191,7 @@
         """Open all sockets and start all tasks."""
         stack.callback(self.store.close)
         stack.callback(self.pool.close)
+        stack.callback(self.crashes.close)
         stack.callback(self.gossip.close)
         stack.callback(self.copies.close)
         stack.callback(self.follower.close)
--- a/oleanderroute/host/membership.py
+++ b/oleanderroute/host/membership.py
@@ -5,6 +5,8 @@
 
 # A host that was not seen for this time is not counted as live.
 HOST_TIMEOUT_S = 2.0
+# Hubs send at least each 0.25 s; a host that is silent itself hears its hub.
+ISOLATION_TIMEOUT_S = 0.9
 # Every repeat asks for the number of live hosts.
 LIVE_COUNT_INTERVAL_S = 0.1
 
@@ -161,6 +163,15 @@
                 count += 1
         return count
 
+    def is_isolated(self):
+        """Tell whether this host hears none of the other hosts that it knows."""
+        if self.view.host_count == 1:
+            return False
+        last_seen_at = self.any_last_seen_at
+        if last_seen_at is None:
+            return True
+        return self.clock.now() - last_seen_at >= ISOLATION_TIMEOUT_S
+
     def is_alive(self, host_id, now):
         """Tell whether another host was last seen within ``HOST_TIMEOUT_S``."""
         last_seen_at = self.last_seen_at.get(host_id)
--- a/oleanderroute/host/target_sender.py
+++ b/oleanderroute/host/target_sender.py
@@ -5,7 +5,7 @@
 
 from .. import events
 from ..decisions.fingerprint import BODY_HEAD_BYTES
-from ..decisions.health import Finding
+from ..decisions.health import LONG_OVERDUE_QUANTILE, Finding
 from ..decisions.restrictions import parse_pause_s
 from ..decisions.work_estimate import WorkEstimates
 from ..entry.messages import (
@@ -141,9 +141,10 @@
             self.clock,
             target,
             record,
+            lambda: self.check_silent(exchange, target, record),
         )
         try:
-            outcome = await self.run_exchange(exchange, target, now)
+            outcome = await self.run_exchange(exchange, target, record)
         except (asyncio.CancelledError, BodyTooLarge, MemoryPressure):
             # Also if the body was given up midway: the target has a free slot again.
             record.result = SendResult.CANCELLED
@@ -158,7 +159,7 @@
             record.status = outcome.answer.status
             self.apply_restrictions(exchange, entry, outcome.answer)
         if outcome.is_final:
-            self.crashes.record_success(exchange)
+            self.record_success(exchange, target, record, outcome.answer)
             if not record.is_queued:
                 latencies.add_service_time(record.elapsed_s)
                 self.work_estimates.of(exchange.service).add(
@@ -199,6 +200,7 @@
         """End a body that is not complete at the time limit of the request."""
 
         def on_timeout(passed_bytes):
+            self.check_silent(exchange, target, record)
             events.ANSWER_CUT.log(
                 request=exchange.attempt_id,
                 target=record.target_id,
@@ -206,11 +208,39 @@
             )
             self.reporter.publish(target, Finding.FAILED, record)
 
+        def on_end(is_complete):
+            if not is_complete:
+                self.crashes.check_broken(exchange, target, record.started_at)
+            elif answer.status < FIRST_SERVER_ERROR:
+                self.record_whole_success(exchange, target, record, answer)
+
         answer.stream = LimitedStream(
-            answer.stream, exchange.deadline_at, self.clock, on_timeout
+            answer.stream, exchange.deadline_at, self.clock, on_timeout, on_end
+        )
+
+    def record_success(self, exchange, target, record, answer):
+        """Record that a target served a request, unless its answer is incomplete."""
+        if answer.stream is None:
+            self.record_whole_success(exchange, target, record, answer)
+
+    def record_whole_success(self, exchange, target, record, answer):
+        """Record that a target served a request."""
+        if answer.ends_with_connection:
+            self.crashes.check_closed(exchange, target, record.started_at)
+        else:
+            self.crashes.record_success(exchange)
+
+    def check_silent(self, exchange, target, record):
+        """Check a target that has not answered a request for long."""
+        span_s = self.view.latencies_of(exchange.service).quantile(
+            LONG_OVERDUE_QUANTILE
+        )
+        noticed_at = min(self.clock.now(), record.started_at + span_s)
+        self.crashes.check_silent(
+            exchange, target, record.started_at, noticed_at, span_s
         )
 
-    async def run_exchange(self, exchange, target, sent_at):
+    async def run_exchange(self, exchange, target, record):
         """Exchange request and answer with a target and classify the result."""
         entry = target.entry
         remaining_s = exchange.deadline_at - self.clock.now()
@@ -230,12 +260,13 @@
                 return SendOutcome(SendResult.KEY_REFUSED, error=error.reason)
             return SendOutcome(SendResult.NOT_SENT, error=error)
         except (TimeoutError, FirstByteTimeout, BetweenBytesTimeout):
+            self.check_silent(exchange, target, record)
             return SendOutcome(SendResult.TIMEOUT)
         except MalformedAnswer as error:
             self.log_rejected(exchange, entry, error)
             return SendOutcome(SendResult.MALFORMED)
         except TargetError:
-            self.crashes.check_for_crash(exchange, entry, sent_at)
+            self.crashes.check_broken(exchange, target, record.started_at)
             return SendOutcome(SendResult.BROKEN)
         if answer.not_started:
             exchange.may_have_run = may_have_run
--- a/oleanderroute/peer/gen/oleander_gossip/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_gossip/ttypes.py
@@ -24,6 +24,7 @@
      - target_ids
      - sent_ms
      - broke_ms
+     - is_silent
 
     """
 
@@ -33,15 +34,17 @@
         'target_ids',
         'sent_ms',
         'broke_ms',
+        'is_silent',
     )
 
 
-    def __init__(self, service_name=None, fingerprint=None, target_ids=None, sent_ms=None, broke_ms=None,):
+    def __init__(self, service_name=None, fingerprint=None, target_ids=None, sent_ms=None, broke_ms=None, is_silent=None,):
         self.service_name = service_name
         self.fingerprint = fingerprint
         self.target_ids = target_ids
         self.sent_ms = sent_ms
         self.broke_ms = broke_ms
+        self.is_silent = is_silent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -82,6 +85,11 @@
                     self.broke_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_silent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -115,6 +123,10 @@
             oprot.writeFieldBegin('broke_ms', TType.I32, 5)
             oprot.writeI32(self.broke_ms)
             oprot.writeFieldEnd()
+        if self.is_silent is not None:
+            oprot.writeFieldBegin('is_silent', TType.BOOL, 6)
+            oprot.writeBool(self.is_silent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1142,6 +1154,7 @@
     (3, TType.LIST, 'target_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.I32, 'sent_ms', None, None, ),  # 4
     (5, TType.I32, 'broke_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'is_silent', None, None, ),  # 6
 )
 all_structs.append(Observation)
 Observation.thrift_spec = (
