Answers: a status below 100 and interim answers without end fail the request at once

A target that answered with status 000 made its caller wait for the whole time limit (504); the users saw such answers on other systems. Cause: any status below 200 was taken for an interim answer. Change: a status outside 100 to 599, and the 33rd interim answer to a request, are malformed.

--- a/features/host.feature
+++ b/features/host.feature
@@ -21,6 +21,8 @@
       | unframed | POST   | /order/1 | 200     | standin | 1    |
       | stray    | POST   | /order/1 | 200     | standin | 1    |
       | unproven | POST   | /order/1 | 502     | none    | 1    |
+      | status-000 | POST | /order/1 | 502     | none    | 1    |
+      | status-000 | GET  | /look/1  | 502     | none    | 2    |
       | early    | POST   | /order/1 | 500     | standin | 0    |
       |          | GET    | /none/1  | 404     | none    | 0    |
       |          | GET    | /look    | 404     | none    | 0    |
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -55,3 +55,20 @@
 
   Scenario: A success with seal and id is passed on, whatever its framing
     Then kept connections: each kind of success with seal and id is passed on
+
+  # Guards against a status below 100 that is taken for an interim answer, and interim
+  # answers without end: the caller waited for its whole deadline.
+  Scenario Outline: <count> answers with status <status> before the answer <end>
+    Then kept connections: <count> answers with status <status> before the answer <end> within 1 s
+
+    Examples:
+      | count | status | end              |
+      | 1     | 000    | fail the request |
+      | 1     | 001    | fail the request |
+      | 1     | 099    | fail the request |
+      | 1     | 101    | fail the request |
+      | 1     | 600    | fail the request |
+      | 1     | 999    | fail the request |
+      | 33    | 102    | fail the request |
+      | 1     | 100    | are passed over  |
+      | 32    | 103    | are passed over  |
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -236,3 +236,30 @@
     for kind in KINDS:
         for age in ("new", "used"):
             step_success(context, kind, "seal and id", age, "passed on")
+
+
+@then(
+    "kept connections: {count:d} answers with status {status} before the answer {end} "
+    "within {limit_s:g} s"
+)
+def step_statuses(context, count, status, end, limit_s):
+    interim = b"HTTP/1.1 %b Status\r\n%b\r\n" % (status.encode(), SEAL + OWN_ID)
+
+    async def script(request, writer):
+        for _ in range(count):
+            writer.write(interim)
+            await writer.drain()
+            await asyncio.sleep(0.005)
+        if end == "are passed over":
+            writer.write(answer(200, b"a1", b"final"))
+
+    async def work(pool, fake):
+        try:
+            async with asyncio.timeout(limit_s):
+                found = await exchange(pool, fake.target, b"a1")
+        except MalformedAnswer as error:
+            assert end == "fail the request" and error.bytes_sent, error
+        else:
+            assert end == "are passed over" and found.body == b"final", found
+
+    asyncio.run(with_target(script, work))
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -8,6 +8,12 @@
 from .messages import DROPPED_FROM_ANSWER, TargetAnswer, answer_headers
 
 MAX_HEADERS = 200
+FIRST_INTERIM_STATUS = 100
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
+SWITCHING_PROTOCOLS = 101
+# Interim answers (RFC 9110, section 15.2) before the final one.
+MAX_INTERIM_ANSWERS = 32
 
 
 class AnswerParser:
@@ -45,6 +51,7 @@
         self.extra_bytes = False
         self.keep_alive = False
         self.head_bytes = 0
+        self.interim_answers = 0
         self.body_bytes = 0
         self.headers = []
         self.chunks = []
@@ -72,12 +79,13 @@
         status = self.parser.get_status_code()
         if self.answer_complete:
             return
-        if status < 200:
-            if status == 101:
-                raise MalformedAnswer("unrequested upgrade", True)
+        if not FIRST_INTERIM_STATUS <= status <= LAST_STATUS:
+            raise MalformedAnswer(f"status {status:03d}", True)
+        if status < FIRST_FINAL_STATUS:
+            self.count_interim(status)
             return
-        if status > 599 or len(self.headers) > MAX_HEADERS:
-            raise MalformedAnswer("bad status or too many headers", True)
+        if len(self.headers) > MAX_HEADERS:
+            raise MalformedAnswer("too many headers", True)
         self.status = status
         length = self.read_answer_head()
         if self.stray:
@@ -91,6 +99,17 @@
         elif length > BUFFER_BYTES:
             self.start_stream()
 
+    def count_interim(self, status):
+        """Count an interim answer; raises ``MalformedAnswer`` if no final one follows.
+
+        Otherwise a target could hold a request with them until its time limit.
+        """
+        self.interim_answers += 1
+        if status == SWITCHING_PROTOCOLS:
+            raise MalformedAnswer("unrequested upgrade", True)
+        if self.interim_answers > MAX_INTERIM_ANSWERS:
+            raise MalformedAnswer("too many interim answers", True)
+
     def read_answer_head(self):
         """Build the answer from the headers and return the declared length.
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -3,8 +3,8 @@
 Run it as ``python -m standins.platform_target --store ADDRESS --id ID --service NAME``.
 A request whose path ends in ``/~MODE`` is treated in that mode: ``hang``, ``shed``,
 ``reset``, ``error``, ``unframed``, ``early``, ``stray``, ``unproven``, ``slow``,
-``leaving``, ``pause`` or ``crash``. The modes in ``ENDLESS`` send bytes until the
-connection is closed.
+``leaving``, ``pause``, ``crash`` or ``status-000``. The modes in ``ENDLESS`` send bytes
+until the connection is closed.
 """
 
 import asyncio
@@ -150,6 +150,11 @@
             attempt_id = headers.get("x-attempt-id", "")
             writer.write(sealed_head(attempt_id) + b"\r\n" + content)
             return False
+        elif mode == "status-000":
+            attempt_id = headers.get("x-attempt-id", "")
+            lines = sealed_head(attempt_id).replace(b" 200 OK", b" 000 None")
+            writer.write(lines + b"Content-Length: 0\r\n\r\n")
+            return True
         elif mode == "stray":
             stray = {**headers, "x-attempt-id": "another"}
             self.write(writer, 200, stray, b"not yours")
