Answers: a head that holds the status line of another answer is malformed

Cause: the parser took the second status line for the rest of a header's value, and found the right id behind it. Change: a status line inside a header's value or the reason makes the answer malformed (502 for what may have run).

--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -93,3 +93,17 @@
 
   Scenario: An unframed answer to an upload that was read is whole
     Then kept connections: an unframed answer to an upload that was read is passed on
+
+  # Guards against an answer that is made of two, the first of which broke off in its head:
+  # an order that ran was sent again, or its failure passed for a success (TWICE, MIXED).
+  Scenario Outline: An earlier <earlier> breaks off in its head before <own>, arriving <pieces>
+    Then kept connections: an earlier <earlier> cut after each byte of its head, then <own>, <pieces>, is never mixed
+
+    Examples:
+      | earlier | own       | pieces      |
+      | refusal | a success | at once     |
+      | refusal | a success | in pieces   |
+      | refusal | a failure | at once     |
+      | success | a failure | at once     |
+      | success | a failure | in pieces   |
+      | success | a success | at once     |
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -350,3 +350,52 @@
         assert await upload(pool, fake.target, SlowUpload()) == LONG_BODY
 
     asyncio.run(with_target(script, work))
+
+
+@then(
+    "kept connections: an earlier {earlier} cut after each byte of its head, then "
+    "{own}, {pieces}, is never mixed"
+)
+def step_broken_head(context, earlier, own, pieces):
+    # Its id and its length come last, so that the next answer's may take their place.
+    first = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+    if earlier == "success":
+        first = b"HTTP/1.1 200 OK\r\n" + SEAL
+    first += b"X-Server: one\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n"
+    expected = (200, b"for a2") if own == "a success" else (409, b"no a2")
+    second = answer(expected[0], b"a2", expected[1])
+    mixed = []
+
+    async def check(cut):
+        served = []
+
+        async def script(request, writer):
+            served.append(request)
+            if len(served) == 1:
+                writer.write(answer(200, b"a1", b"for a1"))
+                return
+            data = first[:cut] + second
+            step = 7 if pieces == "in pieces" else len(data)
+            for start in range(0, len(data), step):
+                writer.write(data[start : start + step])
+                await asyncio.sleep(0)
+            return "close"
+
+        async def work(pool, fake):
+            await exchange(pool, fake.target, b"a1")
+            try:
+                found = await exchange(pool, fake.target, b"a2")
+            except TargetError as error:
+                assert error.bytes_sent, error
+                return
+            if (found.status, found.body, found.not_started) != (*expected, False):
+                mixed.append((cut, found))
+
+        await with_target(script, work)
+
+    async def check_all():
+        for cut in range(len(first) + 1):
+            await check(cut)
+
+    asyncio.run(check_all())
+    assert not mixed, mixed[:3]
--- a/oleanderroute/entry/answer_parser.py
+++ b/oleanderroute/entry/answer_parser.py
@@ -1,5 +1,7 @@
 """Parses and validates the answers of a target."""
 
+import re
+
 import httptools
 
 from ..errors import MalformedAnswer
@@ -8,6 +10,9 @@
 from .messages import DROPPED_FROM_ANSWER, TargetAnswer, answer_headers
 
 MAX_HEADERS = 200
+# Within a header or a reason, it shows that the head of another answer broke off there.
+STATUS_LINE_START = b"HTTP/1."
+STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}")
 FIRST_INTERIM_STATUS = 100
 FIRST_FINAL_STATUS = 200
 LAST_STATUS = 599
@@ -54,6 +59,7 @@
         self.interim_answers = 0
         self.body_bytes = 0
         self.headers = []
+        self.reason = b""
         self.chunks = []
         self.size = 0
         self.answer = None
@@ -67,6 +73,12 @@
             return
         self.message_open = True
         self.headers = []
+        self.reason = b""
+
+    def on_status(self, reason):
+        """Store the reason of the status line, which may arrive in parts."""
+        if not self.answer_complete:
+            self.reason += reason
 
     def on_header(self, name, value):
         """Store a header; trailers after the body are dropped."""
@@ -87,6 +99,7 @@
         if len(self.headers) > MAX_HEADERS:
             raise MalformedAnswer("too many headers", True)
         self.status = status
+        self.check_single_head()
         length = self.read_answer_head()
         if self.stray:
             return
@@ -110,6 +123,19 @@
         if self.interim_answers > MAX_INTERIM_ANSWERS:
             raise MalformedAnswer("too many interim answers", True)
 
+    def check_single_head(self):
+        """Refuse a head that continues with the status line of another answer.
+
+        A target may break off in the head of a late answer and go on with the next one.
+        The parser takes the status line of the second for a part of the first.
+        """
+        texts = [self.reason]
+        for _, value in self.headers:
+            texts.append(value)
+        for text in texts:
+            if STATUS_LINE_START in text and STATUS_LINE.search(text):
+                raise MalformedAnswer("two answers in one head", True)
+
     def read_answer_head(self):
         """Build the answer from the headers and return the declared length.
 
