Repeat records: hosts that do not watch the store have nothing to compute for them

Each host counted live hosts and repeats ten times a second, although only a watcher writes records.

--- a/oleanderroute/host/membership.py
+++ b/oleanderroute/host/membership.py
@@ -123,22 +123,19 @@
                 found.append(hub)
         return found
 
+    def is_watcher(self):
+        """Tell whether this host watches the store for its failure domain."""
+        return self.watcher == self.settings.host_id
+
     def watcher_rank(self, now):
-        """Return the place of this host among those that watch the store.
+        """Return the place of this domain's watcher among those of all domains.
 
-        Returns
-        -------
-        int or None
-            Failure domains with a live host whose name comes before that of this
-            host's; None if another host watches the store for this one.
+        It is the number of failure domains with a live host whose names come before.
         """
-        own = self.settings
-        if self.watcher != own.host_id:
-            return None
         self.update_domains()
         rank = 0
         for domain, hosts in self.domains.items():
-            if domain >= own.failure_domain:
+            if domain >= self.settings.failure_domain:
                 continue
             if any(self.is_alive(host_id, now) for host_id in hosts):
                 rank += 1
--- a/oleanderroute/host/repeat_records.py
+++ b/oleanderroute/host/repeat_records.py
@@ -12,6 +12,8 @@
 from ..errors import DocumentError, LeaseUnknown, StoreError
 
 CHECK_INTERVAL_S = 0.1
+# Of a host that does not watch the store, and so has nothing to write.
+ROLE_CHECK_INTERVAL_S = 0.5
 # A record outlives its writer by the window that it covers and this margin, in which
 # the hosts that are killed with the writer start again.
 LEASE_MARGIN_S = 2.0
@@ -91,6 +93,10 @@
     async def run(self):
         """Keep the record until the task is cancelled."""
         while True:
+            if self.lease is None and not self.membership.is_watcher():
+                self.lacking_since = None
+                await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
+                continue
             await asyncio.sleep(CHECK_INTERVAL_S)
             try:
                 await self.update(self.clock.now())
@@ -149,14 +155,14 @@
 
     def is_turn(self, is_lacking, now):
         """Tell whether this host has to write what no record covers."""
-        rank = self.membership.watcher_rank(now)
         is_new = now - self.view.started_at < CONTACT_S
-        if not is_lacking or rank is None or is_new:
+        if not is_lacking or is_new or not self.membership.is_watcher():
             self.lacking_since = None
             return False
         if self.lacking_since is None:
             self.lacking_since = now
-        return now - self.lacking_since >= rank * TURN_S
+        turn_s = self.membership.watcher_rank(now) * TURN_S
+        return now - self.lacking_since >= turn_s
 
     async def write(self, record, now):
         """Write the record under a lease of its own."""
