Repeat records: one writer, and none while few repeats are sent

A record begins at an eighth of the limit now, and a host ends its own once those of hosts with a smaller id suffice.

--- a/features/repeat_records.feature
+++ b/features/repeat_records.feature
@@ -34,6 +34,7 @@
     Given thin links: 2 failure domains with 40 targets, each of 6 hosts on 1000 Mbit/s links
     When repeat records: no hosts are killed 1 s after targets begin to refuse 0.55 of the requests
     Then repeat records: at most 30 calls of the store are writes of records, and none remains
+    And repeat records: one host wrote them
 
   Scenario Outline: A record of <recorded> is <due> with <counted> repeats of <limit>
     Then repeat records: with <recorded> recorded and <counted> of <limit> counted, <due> is due
@@ -41,8 +42,8 @@
     Examples:
       | recorded | counted | limit | due |
       | 0        | 0       | 400   | 0   |
-      | 0        | 24      | 400   | 0   |
-      | 0        | 25      | 400   | 50  |
+      | 0        | 49      | 400   | 0   |
+      | 0        | 50      | 400   | 100 |
       | 50       | 25      | 400   | 50  |
       | 50       | 26      | 400   | 100 |
       | 100      | 75      | 400   | 100 |
@@ -51,9 +52,9 @@
       | 400      | 440     | 400   | 500 |
       | 400      | 300     | 400   | 400 |
       | 400      | 299     | 400   | 350 |
-      | 50       | 13      | 400   | 50  |
-      | 50       | 12      | 400   | 0   |
-      | 0        | 3       | 0     | 8   |
+      | 50       | 24      | 400   | 0   |
+      | 0        | 3       | 0     | 0   |
+      | 0        | 4       | 0     | 8   |
 
   Scenario Outline: A record with <oddity> is left out
     Then repeat records: a record with <oddity> is left out and the others hold
--- a/features/steps/repeat_records_steps.py
+++ b/features/steps/repeat_records_steps.py
@@ -120,6 +120,14 @@
     assert not [key for key in shared.items if key.startswith(prefix)]
 
 
+@then("repeat records: one host wrote them")
+def step_one_writer(context):
+    prefix = documents.REPEATS_PREFIX
+    history = context.fleet.shared.history
+    writers = {item.key for item in history if item.key.startswith(prefix)}
+    assert len(writers) == 1, writers
+
+
 @then(
     "repeat records: with {recorded:d} recorded and {counted:d} of {limit:g} counted, "
     "{due:d} is due"
--- a/oleanderroute/decisions/spent_repeats.py
+++ b/oleanderroute/decisions/spent_repeats.py
@@ -9,15 +9,16 @@
 from dataclasses import dataclass
 from math import ceil
 
-# Steps of a record in the limit on repeats. Without a record, about half a step was
-# spent at most, which fits the part of the limit that hosts leave unused.
+# Steps of a record in the limit on repeats. Without a record, about one step was spent
+# at most, which fits the part of the limit that hosts leave unused.
 STEPS = 8
+START_STEPS = 1.0
 LEAD_STEPS = 0.5
 # A record that covers this many steps more than what is counted is lowered.
 MAX_EXCESS_STEPS = 2.0
 # A record is ended well below the count at which it begins, so that it is not begun and
 # ended again and again.
-END_STEPS = 0.25
+END_STEPS = 0.5
 MIN_STEP = 4.0
 
 
@@ -53,7 +54,7 @@
     """
     step = max(MIN_STEP, limit / STEPS)
     lead = LEAD_STEPS * step
-    if counted < (END_STEPS * step if recorded else lead):
+    if counted < step * (END_STEPS if recorded else START_STEPS):
         return 0
     is_short = counted + lead > recorded
     is_excessive = recorded - counted > MAX_EXCESS_STEPS * step
--- a/oleanderroute/host/repeat_records.py
+++ b/oleanderroute/host/repeat_records.py
@@ -62,6 +62,14 @@
         """Return what the records cover, by service."""
         return merge_spent(self.by_host.values())
 
+    def merged_before(self, host_id):
+        """Return what the records of hosts with a smaller id cover, by service."""
+        found = []
+        for other_id, record in self.by_host.items():
+            if other_id < host_id:
+                found.append(record)
+        return merge_spent(found)
+
 
 class RepeatRecorder:
     """Keeps a record of the fleet's repeats in the store while there are many.
@@ -121,7 +129,7 @@
                 await self.write(due, now)
             return
         due = self.due_record(self.written, now)
-        if not due:
+        if not due or self.is_covered_before(now):
             lease = self.lease
             self.forget()
             await self.store.end_lease(lease)
@@ -153,6 +161,11 @@
                 due[service] = SpentRepeats(allowance.first_send_count(), repeats)
         return due
 
+    def is_covered_before(self, now):
+        """Tell whether the records of hosts with a smaller id suffice."""
+        before = self.view.repeat_records.merged_before(self.view.settings.host_id)
+        return bool(before) and not is_beyond(self.due_record(before, now), before)
+
     def is_turn(self, is_lacking, now):
         """Tell whether this host has to write what no record covers."""
         is_new = now - self.view.started_at < CONTACT_S
