--- a/features/steps/memory_budget_steps.py
+++ b/features/steps/memory_budget_steps.py
@@ -286,9 +286,14 @@
     async def leave_unread():
         clock = SystemClock()
         source = BufferedStream(connection, [b"x" * KIB])
-        stream = LimitedStream(source, clock.now() + 0.05, clock, lambda size: None)
+        ends = []
+        stream = LimitedStream(
+            source, clock.now() + 0.05, clock, lambda size: None, ends.append
+        )
         await asyncio.sleep(0.1)
         assert abandoned == [True]
+        # The target has not ended the body itself, neither whole nor early.
+        assert not ends, ends
         try:
             await anext(stream)
         except AnswerTimeout:
