--- a/oleanderroute/entry/target_pool.py
+++ b/oleanderroute/entry/target_pool.py
@@ -340,25 +340,6 @@
         connection = await connections.connect(self.connect_timeout_s, is_check=True)
         connections.connection_idle(connection)
 
-    async def warm(self, target, count):
-        """Open connections until ``count`` are idle or the limit is reached.
-
-        Parameters
-        ----------
-        target : TargetEntry
-        count : int
-
-        Raises
-        ------
-        ConnectFailed, ConnectionLimitReached
-        """
-        connections = self.connections_to(target)
-        while len(connections.idle) < count:
-            if len(connections.open) + connections.opening >= connections.limit:
-                return
-            self.make_room()
-            connections.idle.append(await connections.connect(self.connect_timeout_s))
-
     def check_idle(self):
         """Close connections past their idle timeout and schedule the next check."""
         self.close_idle()
