--- a/bench/workspace_decoding.py
+++ b/bench/workspace_decoding.py
@@ -21,6 +21,7 @@
 # For as many objects in memory as a host has, which garbage collections look at.
 import oleanderroute.host.main  # noqa: F401
 from oleanderroute.clock import SystemClock
+from oleanderroute.decisions.store_history import UNNAMED_ERA, StoreRevision
 from oleanderroute.host.api_keys import ApiKeys
 from oleanderroute.host.configuration_queue import (
     MIN_STEPPED_BYTES,
@@ -142,8 +143,10 @@
     queue = ConfigurationQueue(
         formats, SystemClock(), on_decoded, lambda reason, *others: print(reason)
     )
-    queue.submit(StoreItem("op/config", 1, document(1, [])), "store")
-    queue.submit(StoreItem("op/config", 2, value), "store")
+    queue.submit(
+        StoreItem("op/config", StoreRevision(UNNAMED_ERA, 1), document(1, [])), "store"
+    )
+    queue.submit(StoreItem("op/config", StoreRevision(UNNAMED_ERA, 2), value), "store")
     longest_s = 0.0
     last_at = time.perf_counter()
     while not done.is_set():
--- a/features/steps/api_keys_steps.py
+++ b/features/steps/api_keys_steps.py
@@ -12,6 +12,7 @@
 from features.steps.restrictions_steps import Registry
 from features.support.fleet_views import make_view
 from features.support.platform_fleet import HOST, configuration, route, workspace
+from features.support.revisions import revision_at
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.selection import Selector
 from oleanderroute.entry.messages import (
@@ -140,7 +141,8 @@
     def configure(self, workspaces):
         self.version += 1
         value = encode(self.version, [*workspaces, *ROUTES])
-        self.view.apply([StoreItem(documents.CONFIGURATION_KEY, self.version, value)])
+        item = StoreItem(documents.CONFIGURATION_KEY, revision_at(self.version), value)
+        self.view.news.apply([item])
 
     def change_keys(self):
         if self.change is not None:
@@ -350,7 +352,8 @@
 
     async def scenario():
         for revision, value in enumerate(values, 1):
-            view.apply([StoreItem(documents.CONFIGURATION_KEY, revision, value)])
+            item = StoreItem(documents.CONFIGURATION_KEY, revision_at(revision), value)
+            view.news.apply([item])
         assert in_force == [1], in_force
         turns = 0
         while view.configuration_queue.task is not None:
@@ -396,14 +399,16 @@
         raise TypeError("KEY-1")
 
     async def scenario():
-        view.apply([StoreItem(documents.CONFIGURATION_KEY, 1, encode(1, many))])
+        first = StoreItem(documents.CONFIGURATION_KEY, revision_at(1), encode(1, many))
+        view.news.apply([first])
         view.configuration_queue.formats = SimpleNamespace(
             decode_configuration=documents.decode_configuration,
             decode_in_steps=fail_once,
         )
         for version in (2, 3):
             value = encode(version, many)
-            view.apply([StoreItem(documents.CONFIGURATION_KEY, version, value)])
+            item = StoreItem(documents.CONFIGURATION_KEY, revision_at(version), value)
+            view.news.apply([item])
         while view.configuration_queue.task is not None:
             await asyncio.sleep(0)
 
--- a/features/steps/host_decisions_steps.py
+++ b/features/steps/host_decisions_steps.py
@@ -18,12 +18,14 @@
 from features.support.fleet_views import make_view
 from features.support.platform_fleet import HOST, ROUTES, configuration
 from features.support.processes import PORTS
+from features.support.revisions import revision_at
 from features.support.thin_links import VirtualFleet, target_entry
 from oleanderroute import events
 from oleanderroute.clock import ManualClock, SystemClock
 from oleanderroute.decisions.allowance import RepeatAllowance
 from oleanderroute.decisions.health import Finding, TargetHealth
 from oleanderroute.decisions.hubs import HubChoice, appoint_watcher
+from oleanderroute.decisions.kept_states import KeptStates
 from oleanderroute.decisions.latency import LatencySample
 from oleanderroute.decisions.link_budget import LinkBudget
 from oleanderroute.decisions.replica import StoreReplica
@@ -277,10 +279,10 @@
     for revision in range(1, length + 1):
         key = f"k{rng.randrange(6)}"
         if key in state and rng.random() < 0.4:
-            history.append(StoreItem(key, revision, None))
+            history.append(StoreItem(key, revision_at(revision), None))
             del state[key]
         else:
-            item = StoreItem(key, revision, b"%d" % revision)
+            item = StoreItem(key, revision_at(revision), b"%d" % revision)
             history.append(item)
             state[key] = item
         states[revision] = dict(state)
@@ -290,13 +292,15 @@
 def update_replica(rng, replica, others, events, states, revision_limit):
     """Update a replica by events, a listing or another replica, chosen at random."""
     way = rng.randrange(3)
-    if way == 0 and replica.revision:
-        for event in events[replica.revision : revision_limit]:
+    if way == 0 and replica.revision.number:
+        for event in events[replica.revision.number : revision_limit]:
             replica.apply(event)
-        replica.advance(revision_limit)
+        replica.advance(revision_at(revision_limit))
     elif way == 1:
-        replica.replace("", list(states[revision_limit].values()), revision_limit)
-        replica.advance(revision_limit)
+        replica.replace(
+            "", list(states[revision_limit].values()), revision_at(revision_limit)
+        )
+        replica.advance(revision_at(revision_limit))
     else:
         other = rng.choice(others)
         if other.revision <= replica.revision:
@@ -322,11 +326,11 @@
         for _ in range(40):
             replica = rng.choice(replicas)
             before = replica.revision
-            revision_limit = rng.randint(max(1, before), 30)
+            revision_limit = rng.randint(max(1, before.number), 30)
             update_replica(rng, replica, replicas, events, states, revision_limit)
             assert replica.revision >= before
             found = {key: item.value for key, item in replica.items.items()}
-            expected = states[replica.revision]
+            expected = states[replica.revision.number]
             wanted = {key: item.value for key, item in expected.items()}
             assert found == wanted, (seed, replica.revision, found, wanted)
 
@@ -590,6 +594,7 @@
             hosts_changes=0,
             last_seen_at={},
             replica=StoreReplica(),
+            news=SimpleNamespace(kept=KeptStates(documents.state_order)),
             configuration=None,
             rate_limits=SimpleNamespace(is_needed=False),
             record_confirmation=lambda at: None,
@@ -789,27 +794,31 @@
     "whole"
 )
 def step_large_copy(context, size, count):
-    replica = StoreReplica()
-    replica.apply(StoreItem("op/config", 5, b"x" * size))
+    view = make_view(ManualClock(100.0))
+    replica = view.replica
+    replica.apply(StoreItem("op/config", revision_at(5), b"x" * size))
     for number in range(count):
-        replica.apply(StoreItem(f"servers/i-{number}", 6 + number, b"y" * 300))
-    replica.advance(6 + count)
+        replica.apply(
+            StoreItem(f"servers/i-{number}", revision_at(6 + number), b"y" * 300)
+        )
+    replica.advance(revision_at(6 + count))
 
     async def fetch():
         place = SimpleNamespace(address="127.0.0.1", control_port=PORTS.next())
         clock = SystemClock()
-        server = CopyServer(SimpleNamespace(settings=place, replica=replica), clock)
+        view.settings = place
+        server = CopyServer(view, clock)
         await server.start()
         try:
             return await fetch_copy(
-                place.address, place.control_port, "h2", StoreReplica(), clock
+                place.address, place.control_port, "h2", make_view(clock), clock
             )
         finally:
             server.close()
 
-    revision, is_complete, items = asyncio.run(fetch())
-    assert revision == 6 + count and is_complete
-    assert {item.key: item for item in items} == replica.items
+    copied = asyncio.run(fetch())
+    assert copied.revision == revision_at(6 + count) and copied.is_complete
+    assert {item.key: item for item in copied.items} == replica.items
 
 
 @then(
@@ -819,10 +828,12 @@
 def step_kept_values(context, changes, keys, size, most):
     replica = StoreReplica()
     for number in range(changes):
-        replica.apply(StoreItem(f"k{number % keys}", number + 1, b"x" * size))
+        replica.apply(
+            StoreItem(f"k{number % keys}", revision_at(number + 1), b"x" * size)
+        )
     kept = sum(len(item.value) for item in replica.previous)
     assert 0 < kept <= most, kept
-    assert replica.value_at("k19", 20).revision == 20
+    assert replica.value_at("k19", revision_at(20)).revision == revision_at(20)
 
 
 @then("host decisions: a full datagram of starts takes at most {most:d} bytes")
@@ -835,6 +846,12 @@
 
 def full_datagram_size(workspace):
     task = InMemoryFleet(4, 2).tasks["h0"]
+    # As after a return of the store, with a state that is kept.
+    task.view.replica.advance(revision_at(10**9, 1000))
+    kept = task.view.news.kept
+    value = json.dumps({"version": "00000009"}).encode()
+    state = kept.make_state("op/config", revision_at(10**9, 999), value, False)
+    kept.by_key[state.key] = state
     outbox = Outbox()
     for number in range(100):
         outbox.observations.append(
@@ -960,12 +977,12 @@
         items = []
         for number in range(count):
             key = f"{documents.TARGET_PREFIX}t{number}"
-            items.append(StoreItem(key, number + 1, target_entry(number)))
+            items.append(StoreItem(key, revision_at(number + 1), target_entry(number)))
         add_destinations(written.append)
         try:
-            view.apply_listing(documents.TARGET_PREFIX, items, count)
+            view.news.apply_listing(documents.TARGET_PREFIX, items, revision_at(count))
             assert len(view.targets) == count
-            view.apply_listing(documents.TARGET_PREFIX, [], count + 1)
+            view.news.apply_listing(documents.TARGET_PREFIX, [], revision_at(count + 1))
             assert not view.targets
         finally:
             remove_destination(written.append)
@@ -1010,7 +1027,7 @@
     routes = copy.deepcopy(list(ROUTES))
     routes[1]["spec"]["timeoutMs"] = 1000 * grace_s
     document = json.dumps(configuration(1, routes)).encode()
-    view.apply([StoreItem(documents.CONFIGURATION_KEY, 1, document)])
+    view.news.apply([StoreItem(documents.CONFIGURATION_KEY, revision_at(1), document)])
     forwarded = []
 
     async def forward(exchange):
--- a/features/steps/repeat_records_steps.py
+++ b/features/steps/repeat_records_steps.py
@@ -7,6 +7,7 @@
 
 from features.steps.host_decisions_steps import make_view
 from features.steps.thin_links_steps import SETTLE_S, make_exchange, make_forwarder
+from features.support.revisions import revision_at
 from oleanderroute.clock import ManualClock
 from oleanderroute.decisions.spent_repeats import repeats_to_record
 from oleanderroute.host.model import StoreItem
@@ -154,8 +155,9 @@
     spent = SimpleNamespace(first_sends=50, repeats=20)
     key, value = documents.encode_repeats("edge-9", {"s": spent})
     odd_key = documents.REPEATS_PREFIX + "odd"
-    items = [StoreItem(odd_key, 1, ODD_RECORDS[oddity]), StoreItem(key, 2, value)]
-    view.apply_listing(documents.FLEET_PREFIX, items, 2)
+    odd = StoreItem(odd_key, revision_at(1), ODD_RECORDS[oddity])
+    items = [odd, StoreItem(key, revision_at(2), value)]
+    view.news.apply_listing(documents.FLEET_PREFIX, items, revision_at(2))
     allowance = view.allowance_of("s")
     assert allowance.repeat_count() == 20, allowance.repeat_count()
     assert allowance.first_send_count() == 50, allowance.first_send_count()
--- a/features/steps/restrictions_steps.py
+++ b/features/steps/restrictions_steps.py
@@ -9,6 +9,7 @@
 
 from features.steps.host_sends_steps import NO_CRASHES, make_exchange
 from features.support.fleet_views import make_view
+from features.support.revisions import revision_at
 from oleanderroute.clock import ManualClock, SystemClock
 from oleanderroute.decisions.restrictions import parse_pause_s
 from oleanderroute.decisions.selection import Selector
@@ -38,8 +39,9 @@
 
     def put(self, target_id, value):
         self.revision += 1
-        item = StoreItem(documents.TARGET_PREFIX + target_id, self.revision, value)
-        self.view.apply([item])
+        key = documents.TARGET_PREFIX + target_id
+        item = StoreItem(key, revision_at(self.revision), value)
+        self.view.news.apply([item])
 
     def register(self, target_id, born=BORN, port=1):
         document = {
--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -14,6 +14,7 @@
     configuration_of,
     learn,
 )
+from features.support.revisions import revision_at
 from features.support.store_troubles import (
     TROUBLES,
     StoreWriter,
@@ -29,6 +30,7 @@
 )
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.replica import StoreReplica, digest_of
+from oleanderroute.decisions.store_history import UNNAMED_ERA
 from oleanderroute.errors import HistoryLost
 from oleanderroute.host.model import ItemPage, StoreItem
 from oleanderroute.host.outbox import Outbox
@@ -83,12 +85,12 @@
 
     async def relay():
         # A listing in pages has items that are newer than the revision it is good for.
-        sender.view.apply([early])
+        sender.view.news.apply([early])
         changes, patches = sender.gossip.patch_maker.split_changes([early, late], {})
         message = group.member.gossip.make_message(Outbox(), to_hub=True)
         message.host_id = "edge-9"
-        message.revision = late.revision
-        message.changes_after = group.revision
+        message.revision = late.revision.number
+        message.changes_after = group.revision.number
         message.changes = changes
         message.patches = patches
         sender.gossip.apply_changes(message)
@@ -171,7 +173,7 @@
     def receive_copy():
         items = list(group.shared.items.values())
         for host in (group.hub, group.member):
-            host.view.apply_listing("", items, late.revision)
+            host.view.news.apply_listing("", items, late.revision)
             host.view.replica.advance(late.revision)
 
     def watched_page():
@@ -269,8 +271,9 @@
 def step_undecodable(context):
     group = context.group
     revision = group.shared.put("servers/i-00000001", b"")
-    entry = {"key": "servers/i-00000001", "revision": revision, "value": "%"}
-    page = ItemPage(decode_items({"events": [entry]}, "events"), revision)
+    entry = {"key": "servers/i-00000001", "revision": revision.number, "value": "%"}
+    items = decode_items({"events": [entry]}, "events", revision.era)
+    page = ItemPage(items, revision)
     group.hub.follower.store = ScriptedStore(lambda: page)
     group.run(group.hub.follower.watch_once())
 
@@ -288,13 +291,13 @@
     events = [UNREADABLE_ITEMS[oddity], {"key": "k", "revision": 8, "value": ""}]
 
     async def answer(*arguments, **options):
-        return 200, {"events": events, "atRev": 8}
+        return 200, {"events": events, "atRev": 8}, UNNAMED_ERA
 
     async def watch():
         client = KvClient("127.0.0.1:1", lambda name: None, SystemClock())
         client.call = answer
         try:
-            return await client.watch("", 6, 1.0)
+            return await client.watch("", revision_at(6), 1.0)
         except HistoryLost as error:
             return error
 
@@ -408,7 +411,7 @@
         missed = [shared.items["servers/i-00000002"]]
         missed.append(StoreItem("op/config", revision, None))
         for host in hosts:
-            host.view.apply(missed)
+            host.view.news.apply(missed)
     elif change == "a removed target":
         shared.remove("servers/i-00000001")
     elif change == "a configuration":
@@ -460,12 +463,15 @@
     "{reader} at {listing:d}, known up to {known:d}"
 )
 def step_listed_after_removal(context, removal, reader, listing, known):
-    item = StoreItem("servers/i-1", 3, b"x")
+    item = StoreItem("servers/i-1", revision_at(3), b"x")
     replica = StoreReplica()
-    for change in (item, StoreItem(item.key, removal, None)):
+    for change in (item, StoreItem(item.key, revision_at(removal), None)):
         replica.apply(change)
-    replica.advance(known)
-    replica.replace("servers/", [item], listing, is_from_store=reader == "the host")
+    replica.advance(revision_at(known))
+    is_from_store = reader == "the host"
+    replica.replace(
+        "servers/", [item], revision_at(listing), is_from_store=is_from_store
+    )
     context.replica = replica
 
 
@@ -474,14 +480,16 @@
     replica = context.replica
     is_there = "servers/i-1" in replica.items
     assert is_there == (outcome == "there"), replica.items
-    assert replica.item_digest == (digest_of("servers/i-1", 3) if is_there else 0)
+    assert replica.item_digest == (
+        digest_of("servers/i-1", revision_at(3)) if is_there else 0
+    )
     assert len(set(replica.change_order)) == len(replica.change_order)
 
 
 @when("store changes: one host has read a listing that is newer in parts")
 def step_listing_in_parts(context):
     group = context.group
-    group.hub.view.apply([group.write(*CHANGES["a new host"])])
+    group.hub.view.news.apply([group.write(*CHANGES["a new host"])])
     group.run(asyncio.sleep(APPLY_S))
 
 
--- a/features/steps/thin_links_steps.py
+++ b/features/steps/thin_links_steps.py
@@ -10,6 +10,7 @@
 
 from features.steps.host_sends_steps import NO_CRASHES
 from features.support.platform_fleet import ROUTES, configuration, route
+from features.support.revisions import revision_at
 from features.support.thin_links import VirtualFleet
 from oleanderroute.clock import SystemClock
 from oleanderroute.decisions.selection import Selector
@@ -166,7 +167,7 @@
         client = KvClient(f"127.0.0.1:{port}", lambda name: None, SystemClock())
         try:
             async with asyncio.timeout(6.0):
-                return (await client.watch("", 1, 0.5)).revision
+                return (await client.watch("", revision_at(1), 0.5)).revision.number
         except StoreUnavailable:
             return "refused"
         finally:
--- a/features/support/host_group.py
+++ b/features/support/host_group.py
@@ -61,7 +61,7 @@
         self.shared.put(documents.HOST_PREFIX + "edge-9", OTHER_HOST)
         self.revision = self.shared.revision
         for host in self.fleet.hosts.values():
-            host.view.apply(list(self.shared.items.values()))
+            host.view.news.apply(list(self.shared.items.values()))
             host.view.replica.advance(self.revision)
         first, second = self.fleet.hosts.values()
         first.gossip.membership.choose_roles()
@@ -99,5 +99,5 @@
 
 def learn(host, items):
     """Let a host learn of changes as by a datagram whose copies to others are lost."""
-    host.view.apply(items)
+    host.view.news.apply(items)
     host.view.replica.advance(max(item.revision for item in items))
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -13,8 +13,19 @@
 
 import orjson
 
+from oleanderroute.decisions.store_history import (
+    NO_REVISION,
+    UNNAMED_ERA,
+    StoreLease,
+    StoreRevision,
+)
 from oleanderroute.entry.messages import TargetAnswer
-from oleanderroute.errors import HistoryLost, StoreUnavailable
+from oleanderroute.errors import (
+    HistoryLost,
+    HistoryReplaced,
+    LeaseUnknown,
+    StoreUnavailable,
+)
 from oleanderroute.host.copies import CopyServer
 from oleanderroute.host.fleetview import FleetView
 from oleanderroute.host.follower import StoreFollower
@@ -251,8 +262,6 @@
         self.loop = loop
         self.shared = shared
         self.address = address
-        # Keys by lease. No lease expires here.
-        self.keys = {}
 
     async def answer(self, items):
         """Return a page once its items, in base64, have passed the host's link."""
@@ -268,24 +277,37 @@
             await asyncio.sleep(passed_at - self.loop.now)
         return ItemPage(list(items), revision)
 
+    def count_call(self):
+        self.shared.calls += 1
+        calls = self.shared.calls_by_address
+        calls[self.address] = calls.get(self.address, 0) + 1
+
     def check_refusal(self):
         """Fail the call of a host that the store turns away."""
+        if self.shared.is_away:
+            raise StoreUnavailable("the store is away")
         if self.shared.refused_until.get(self.address, 0.0) > self.loop.now:
             raise StoreUnavailable("the store refuses this host")
 
     async def read_prefix(self, prefix):
-        self.shared.calls += 1
+        self.count_call()
+        self.shared.listings += 1
         await asyncio.sleep(LATENCY_S)
         self.check_refusal()
         items = self.shared.items.values()
         return await self.answer([x for x in items if x.key.startswith(prefix)])
 
     async def watch(self, prefix, after, wait_s):
-        self.shared.calls += 1
+        self.count_call()
         ends_at = self.loop.now + wait_s
+        era = self.shared.era
         while True:
             self.check_refusal()
-            if after < self.shared.forgotten_up_to:
+            if self.shared.era > era:
+                raise StoreUnavailable("the watch was cut")
+            if era > after.era:
+                raise HistoryReplaced(era)
+            if after > self.shared.revision or after < self.shared.forgotten_up_to:
                 raise HistoryLost(f"changes after {after}")
             news = [x for x in self.shared.history if x.revision > after]
             if news or self.loop.now >= ends_at:
@@ -293,22 +315,32 @@
             await asyncio.sleep(0.01)
 
     async def create_lease(self, ttl_s):
-        self.shared.calls += 1
-        lease = len(self.keys) + 1
-        self.keys[lease] = None
+        self.count_call()
+        self.check_refusal()
+        self.shared.lease_count += 1
+        lease = StoreLease(self.shared.era, self.shared.lease_count)
+        self.shared.leases.add(lease.number)
         return lease
 
     async def renew_lease(self, lease):
-        return None
+        self.count_call()
+        self.check_refusal()
+        if lease.number not in self.shared.leases:
+            raise LeaseUnknown(str(lease))
 
-    async def end_lease(self, lease):
+    async def remove(self, key, revision):
         await asyncio.sleep(0.004)
-        self.shared.remove(self.keys[lease])
+        self.count_call()
+        self.check_refusal()
+        item = self.shared.items.get(key)
+        if item is not None and item.revision.number == revision.number:
+            self.shared.remove(key)
 
     async def write(self, key, value, lease):
-        self.shared.calls += 1
+        self.count_call()
         self.check_refusal()
-        self.keys[lease] = key
+        if lease.number not in self.shared.leases or lease.era != self.shared.era:
+            raise LeaseUnknown(str(lease))
         return self.shared.put(key, value)
 
 
@@ -319,35 +351,70 @@
     ----------
     late_share : float
         Share of the answers that are late on their way to the host.
-    forgotten_up_to : int
+    forgotten_up_to : StoreRevision
         The history at or below this revision is no longer available.
+    is_away : bool
+        Whether all calls fail.
     refused_until : dict of str to float
         Until when the store refuses the calls of a host, by the host's address.
     """
 
     def __init__(self):
-        self.revision = 5
+        self.era = UNNAMED_ERA
+        self.number = 5
         self.items = {}
         self.history = []
+        # No lease expires here.
+        self.leases = set()
+        self.lease_count = 0
+        self.is_away = False
         self.calls = 0
+        self.calls_by_address = {}
+        self.listings = 0
+        self.writes_by_key = {}
         self.late_share = 0.0
-        self.forgotten_up_to = 0
+        self.forgotten_up_to = NO_REVISION
         self.refused_until = {}
 
+    @property
+    def revision(self):
+        return StoreRevision(self.era, self.number)
+
     def put(self, key, value):
-        self.revision += 1
+        self.number += 1
+        self.writes_by_key[key] = self.writes_by_key.get(key, 0) + 1
         self.items[key] = StoreItem(key, self.revision, value)
         self.history.append(self.items[key])
         return self.revision
 
     def remove(self, key):
         """Remove a key and return its removal."""
-        self.revision += 1
+        self.number += 1
         del self.items[key]
         removal = StoreItem(key, self.revision, None)
         self.history.append(removal)
         return removal
 
+    def name_history(self):
+        """Name the first history in all answers, as the store of the platform does."""
+        self.restore(self.keep_copy())
+
+    def keep_copy(self):
+        """Return what a drill can bring back."""
+        return self.number, dict(self.items), set(self.leases), self.lease_count
+
+    def restore(self, copy):
+        """Come back from an older copy, in the next era."""
+        self.number, items, leases, self.lease_count = copy
+        self.era += 1
+        self.items = {}
+        for key, item in items.items():
+            revision = StoreRevision(self.era, item.revision.number)
+            self.items[key] = StoreItem(key, revision, item.value)
+        self.leases = set(leases)
+        self.history = list(self.items.values())
+        self.forgotten_up_to = self.revision
+
 
 class VirtualPool:
     """Targets that answer after a while, or refuse to run a share of the requests."""
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -67,7 +67,8 @@
   2: required string failure_domain
   // Whether the receiver is to forward it as a hub.
   3: required bool to_hub
-  // Revision of the store up to which the sender has followed all changes.
+  // Revision of the store up to which the sender has followed all changes, in the history
+  // that era names.
   4: required i64 revision
   // Milliseconds since the store confirmed this revision to any host.
   5: optional i32 confirmed_ms
@@ -91,6 +92,21 @@
   // announcements reach it, and the hosts in them that it does not hear.
   15: optional list<string> reached
   16: optional list<string> silent
+  // The history of all revisions in this message; absent if the store names none.
+  17: optional i64 era
+  // Digest of the states that the sender keeps against the copy from which the store
+  // came back; absent for none.
+  18: optional i64 kept
+}
+
+// The newest state of a key in an earlier history of the store.
+struct KeptItem {
+  1: required string key
+  2: required i64 era
+  // Of the last write or, if the key is gone, of its removal.
+  3: required i64 revision
+  4: required binary value
+  5: required bool is_gone
 }
 
 struct CopyRequest {
@@ -99,6 +115,8 @@
   // Revisions of the large values that the requester has; without it, the reply holds
   // no patches and is not packed.
   3: optional map<string, i64> bases
+  // The history of all revisions in this message; absent if the store names none.
+  4: optional i64 era
 }
 
 struct CopyReply {
@@ -110,4 +128,10 @@
   4: optional list<ItemPatch> patches
   // The compressed encoding of a CopyReply that replaces items and patches.
   5: optional binary packed
+  // The history of all revisions in this message; absent if the store names none.
+  6: optional i64 era
+  // What the sender keeps against the copy from which the store came back, and the lowest
+  // listing of this history that it knows.
+  7: optional list<KeptItem> kept
+  8: optional i64 listed_at
 }
--- a/oleanderroute/decisions/replica.py
+++ b/oleanderroute/decisions/replica.py
@@ -1,8 +1,12 @@
 """A host's replica of the store's items, updated by its own calls and by peers.
 
+All items of a replica are of one history of the store, see ``store_history.py``. What
+comes from another history is no change of it: the replica of a later history begins
+with a complete listing.
+
 The hosts read the store by watches and listings, and tell each other what they know by
-datagrams, which hubs relay, and by copies. From each of these a receiver may conclude
-only this:
+datagrams, which hubs relay, and by copies. From each of these, at its own history, a
+receiver may conclude only this:
 
 - Changes of the range ``(after, revision]`` (a watched page, a datagram with changes, a
   partial copy) hold the newest state of every key that changed in it. A receiver that
@@ -25,6 +29,7 @@
 from hashlib import blake2b
 
 from ..host.model import StoreItem
+from .store_history import NO_REVISION, StoreRevision
 
 # Removals that are kept, so that a peer can be sent the changes after a revision.
 MAX_REMOVED = 2000
@@ -39,8 +44,12 @@
 
 
 def digest_of(key, revision):
-    """Return the part of a replica's digest that stands for one item."""
-    content = blake2b(f"{revision} {key}".encode("utf-8", "replace"), digest_size=8)
+    """Return the part of a replica's digest that stands for one item.
+
+    It leaves out the era, as only replicas of one history are compared.
+    """
+    text = f"{revision.number} {key}"
+    content = blake2b(text.encode("utf-8", "replace"), digest_size=8)
     return int.from_bytes(content.digest(), "big") >> (64 - DIGEST_BITS)
 
 
@@ -54,8 +63,9 @@
 
     Attributes
     ----------
-    revision : int
-        All changes up to this revision are known; 0 before the first full copy.
+    revision : StoreRevision
+        All changes up to this revision are known; `NO_REVISION` before the first full
+        copy.
     item_digest : int
         Of the keys under ``prefixes`` and their revisions, whatever their order.
     confirmed_at : float or None
@@ -68,15 +78,17 @@
         self.item_digest = 0
         self.items: dict[str, StoreItem] = {}
         self.removed = {}
+        # The last values of removed keys, as far as they were known.
+        self.last_values = {}
         self.removal_order = deque()
         # Revision and key of each change in the order of revisions. An entry is
         # outdated once its key has a newer change.
-        self.change_order: list[tuple[int, str]] = []
+        self.change_order: list[tuple[StoreRevision, str]] = []
         self.previous: deque[StoreItem] = deque()
         self.previous_bytes = 0
         # Removals at or below this revision may no longer be kept.
-        self.removals_known_after = 0
-        self.revision = 0
+        self.removals_known_after = NO_REVISION
+        self.revision = NO_REVISION
         self.confirmed_at = None
 
     def apply(self, item):
@@ -84,7 +96,7 @@
 
         A change at or below ``revision`` is obsolete, also if its key is not known.
         """
-        return item.revision > self.revision and self.enter(item)
+        return item.revision.follows(self.revision) and self.enter(item)
 
     def enter(self, item):
         """Enter the state of a key unless it is known in this state or a newer one."""
@@ -96,9 +108,10 @@
         if known is not None:
             self.update_digest(known)
         if item.value is None:
-            self.remember_removal(item)
+            self.remember_removal(item, None if known is None else known.value)
             return known is not None
         self.removed.pop(item.key, None)
+        self.last_values.pop(item.key, None)
         self.items[item.key] = item
         self.update_digest(item)
         return True
@@ -152,7 +165,7 @@
         item = self.items.get(key)
         if item is not None:
             return item.revision
-        return self.removed.get(key, 0)
+        return self.removed.get(key, NO_REVISION)
 
     def remember_order(self, item):
         """Enter a change into the order of changes."""
@@ -170,15 +183,41 @@
             if revision == self.revision_of(key)
         ]
 
-    def remember_removal(self, item):
+    def remember_removal(self, item, last_value):
         """Keep a removal until `MAX_REMOVED` newer ones have followed."""
         self.removed[item.key] = item.revision
+        if last_value is not None:
+            self.last_values[item.key] = last_value
         self.removal_order.append((item.key, item.revision))
         while len(self.removal_order) > MAX_REMOVED:
             key, revision = self.removal_order.popleft()
             self.removals_known_after = max(self.removals_known_after, revision)
             if self.removed.get(key) == revision:
                 del self.removed[key]
+                self.last_values.pop(key, None)
+
+    def enter_history(self, items, revision):
+        """Begin anew with a complete listing of the store in a later history.
+
+        The caller advances the replica to ``revision`` afterwards.
+        """
+        last_values = dict(self.last_values)
+        for item in self.items.values():
+            last_values[item.key] = item.value
+        self.items = {}
+        self.removed = {}
+        self.last_values = {}
+        self.removal_order.clear()
+        self.change_order = []
+        self.previous.clear()
+        self.previous_bytes = 0
+        self.item_digest = 0
+        self.removals_known_after = revision
+        for item in items:
+            self.enter(item)
+        for key, value in last_values.items():
+            if key not in self.items:
+                self.remember_removal(StoreItem(key, revision, None), value)
 
     def replace(self, prefix, items, revision, is_from_store=False):
         """Apply a complete listing of a prefix and return the changes.
@@ -199,6 +238,7 @@
             listed.add(item.key)
             if is_from_store and self.is_disproved(item, revision):
                 del self.removed[item.key]
+                self.last_values.pop(item.key, None)
                 is_new = self.enter(item)
             else:
                 is_new = enter(item)
@@ -218,7 +258,7 @@
 
     def is_disproved(self, item, revision):
         """Tell whether a listing with an item disproves a removal of its key."""
-        return item.revision < self.removed.get(item.key, 0) <= revision
+        return item.revision < self.removed.get(item.key, NO_REVISION) <= revision
 
     def advance(self, revision):
         """Record that all changes up to ``revision`` are known."""
@@ -232,7 +272,7 @@
         list of StoreItem or None
             In the order of revisions; None if some changes may be missing.
         """
-        if revision < self.removals_known_after or revision <= 0:
+        if revision < self.removals_known_after or revision <= NO_REVISION:
             return None
         found = []
         first = bisect_right(self.change_order, revision, key=lambda entry: entry[0])
--- a/oleanderroute/errors.py
+++ b/oleanderroute/errors.py
@@ -76,6 +76,20 @@
     """The changes that a watch asked for were discarded, or one is unreadable."""
 
 
+class HistoryReplaced(StoreError):
+    """The store came back from an older copy, in a later history.
+
+    Parameters
+    ----------
+    era : Era
+        Of the later history.
+    """
+
+    def __init__(self, era):
+        super().__init__(f"the store is in era {era}")
+        self.era = era
+
+
 class LeaseUnknown(StoreError):
     """The store does not know a lease any more."""
 
--- a/oleanderroute/events.py
+++ b/oleanderroute/events.py
@@ -518,6 +518,32 @@
     Level.INFO,
     ("revision", "changes", "keys"),
 )
+HISTORY_ENTERED = define(
+    632,
+    "history_entered",
+    "The store came back from an older copy; this host read all items. Of some keys it "
+    "keeps the newer state that it knew.",
+    Level.WARNING,
+    ("era", "revision", "era_before", "revision_before", "kept", "keys", "source"),
+    "Write the newest configuration again if the line of a kept key names it. Targets "
+    "and hosts register again by themselves.",
+)
+KEPT_STATES_CHANGED = define(
+    633,
+    "kept_states_changed",
+    "Another host keeps newer states against the store's copy; this one does, too.",
+    Level.INFO,
+    ("source", "keys", "kept"),
+)
+STORE_ERA_UNREADABLE = define(
+    634,
+    "store_era_unreadable",
+    "An answer of the store does not name its history; it is taken for that of the "
+    "last answer. Only the first one is logged, all are counted.",
+    Level.INFO,
+    ("reason", "era"),
+    "Without eras, hosts do not notice that the store came back from an older copy.",
+)
 CONFIGURATION_IN_FORCE = define(
     630,
     "configuration_in_force",
--- a/oleanderroute/host/configuration_queue.py
+++ b/oleanderroute/host/configuration_queue.py
@@ -56,7 +56,7 @@
             # The later ones replace it, unless none of them can be used.
             skipped, _ = self.waiting.popleft()
             events.CONFIGURATION_SKIPPED.log(
-                revision=skipped.revision, waiting=len(self.waiting)
+                revision=skipped.revision.number, waiting=len(self.waiting)
             )
         if self.task is None:
             self.task = asyncio.ensure_future(self.run())
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from thrift.protocol.TProtocol import TProtocolException
+
 from .. import events
 from ..errors import MessageRejected, PeerError, PeerTimeout, PeerUnreachable
 from ..peer.codec import (
@@ -12,8 +14,10 @@
     read_large_frame,
 )
 from ..peer.compression import compress, decompress
-from ..peer.gen.oleander_gossip.ttypes import CopyReply, CopyRequest, ItemChange
-from .patches import PatchMaker, large_revisions, restore_items
+from ..peer.gen.oleander_gossip.ttypes import CopyReply, CopyRequest, KeptItem
+from .patches import PatchMaker, large_revisions, plain_changes, restore_items
+from .store_news import StoreCopy
+from .wire_revisions import era_field, revision_from_wire
 
 # A value of the store has up to 1 MiB; a copy also has the entries of all targets,
 # 3 MB for 8,000 targets.
@@ -94,19 +98,42 @@
     def make_reply(self, request):
         """Return the changes that the requester lacks, or all items."""
         replica = self.view.replica
-        items = replica.changes_after(request.after_revision)
+        after = revision_from_wire(request.era, request.after_revision)
+        items = replica.changes_after(after)
         is_complete = items is None
         if is_complete:
             items = list(replica.items.values())
         if request.bases is None:
             # A host of an older version reads only plain items.
-            changes = [ItemChange(x.key, x.revision, x.value) for x in items]
-            return CopyReply(replica.revision, is_complete, changes)
-        bases = self.patch_maker.bases_at(request.bases)
+            return self.start_reply(is_complete, plain_changes(items))
+        bases = {}
+        if after.is_in_same_history(replica.revision):
+            bases = self.patch_maker.bases_at(request.bases)
         changes, patches = self.patch_maker.split_changes(items, bases)
-        content = CopyReply(replica.revision, is_complete, changes, patches)
-        packed = compress(encode_message(content))
-        return CopyReply(replica.revision, is_complete, [], packed=packed)
+        content = self.start_reply(is_complete, changes)
+        content.patches = patches
+        self.add_kept_states(content)
+        reply = self.start_reply(is_complete, [])
+        reply.packed = compress(encode_message(content))
+        return reply
+
+    def start_reply(self, is_complete, changes):
+        """Return a reply at the revision of the replica."""
+        revision = self.view.replica.revision
+        era = era_field(revision)
+        return CopyReply(revision.number, is_complete, changes, era=era)
+
+    def add_kept_states(self, reply):
+        """Add to a reply what this host keeps against the store's copy."""
+        kept = self.view.news.kept
+        if not kept.listed_at.is_in_same_history(self.view.replica.revision):
+            return
+        reply.listed_at = kept.listed_at.number
+        reply.kept = []
+        for state in kept.by_key.values():
+            era, number = state.revision
+            item = KeptItem(state.key, era, number, state.value, state.is_gone)
+            reply.kept.append(item)
 
 
 class TransferLog:
@@ -166,32 +193,61 @@
         )
 
 
-async def fetch_copy(address, port, host_id, replica, clock):
-    """Fetch from another host the items that changed after a replica's revision.
+async def fetch_copy(address, port, host_id, view, clock):
+    """Fetch from another host what changed after the revision of a view's replica.
 
     Returns
     -------
-    revision : int
-    is_complete : bool
-        Whether ``items`` are all items of the store.
-    items : list of StoreItem
+    StoreCopy
 
     Raises
     ------
     PeerTimeout, PeerUnreachable, MessageRejected, PatchBaseMissing
     """
+    replica = view.replica
     after = replica.revision
-    transfer = TransferLog(clock, f"{address}:{port}", after)
-    request = CopyRequest(host_id, after, large_revisions(replica))
+    transfer = TransferLog(clock, f"{address}:{port}", after.number)
+    request = CopyRequest(
+        host_id, after.number, large_revisions(replica), era_field(after)
+    )
     try:
         body = await exchange_frames(address, port, encode_frame(request))
         reply = unpack_reply(decode_message(CopyReply(), body))
-        items = restore_items(replica, reply.items, reply.patches)
+        copy = read_copy(reply, replica, view.news.kept)
     except PeerError as error:
         transfer.failed(error)
         raise
     transfer.fetched(reply, len(body))
-    return reply.revision, reply.is_complete, items
+    return copy
+
+
+def read_copy(reply, replica, kept):
+    """Return the ``StoreCopy`` in a reply.
+
+    Raises
+    ------
+    MessageRejected, PatchBaseMissing
+    """
+    revision = revision_from_wire(reply.era, reply.revision)
+    items = restore_items(replica, revision.era, reply.items, reply.patches)
+    copy = StoreCopy(revision, reply.is_complete, items)
+    if reply.listed_at is not None:
+        copy.listed_at = revision_from_wire(reply.era, reply.listed_at)
+    for item in reply.kept or ():
+        check_kept_item(item)
+        item_revision = revision_from_wire(item.era, item.revision)
+        state = kept.make_state(item.key, item_revision, item.value, item.is_gone)
+        if state is not None and item_revision.era < revision.era:
+            copy.kept.append(state)
+    return copy
+
+
+def check_kept_item(item):
+    """Reject a kept state without one of its required fields."""
+    try:
+        item.validate()
+    except TProtocolException as error:
+        raise MessageRejected(str(error)) from error
 
 
 async def exchange_frames(address, port, frame):
--- a/oleanderroute/host/fleetview.py
+++ b/oleanderroute/host/fleetview.py
@@ -25,6 +25,7 @@
 from .rate_limits import RateLimits
 from .repeat_records import RepeatRecords
 from .routes import PrefixRoutes
+from .store_news import StoreNews
 
 # A longer gap between two confirmations by the store is taken for an outage of the
 # store. A healthy watcher confirms at least every two seconds.
@@ -34,8 +35,6 @@
 TARGET_RETURN_TIMEOUT_S = 2.2
 # A host whose key was removed stays in use if it was last seen within this time.
 LAPSED_HOST_TIMEOUT_S = 3.0
-# Source of changes in log lines, if they come from no other host.
-STORE = "store"
 NOT_RETURNED = "not registered again after an outage"
 
 
@@ -47,7 +46,8 @@
     settings : HostSettings
     formats : object
         Decodes the platform's documents: ``decode_configuration``,
-        ``decode_in_steps``, ``decode_target``, ``decode_host`` and the key names.
+        ``decode_in_steps``, ``decode_target``, ``decode_host``, ``state_order`` and the
+        key names.
     clock : Clock
     pool : TargetPool
     """
@@ -60,6 +60,7 @@
         self.replica = StoreReplica(
             (formats.CONFIGURATION_KEY, formats.TARGET_PREFIX, formats.HOST_PREFIX)
         )
+        self.news = StoreNews(self)
         self.configuration = None
         self.configuration_queue = ConfigurationQueue(
             formats, clock, self.configuration_changed, self.refuse_configuration
@@ -107,31 +108,6 @@
 
     # Items of the store
 
-    def apply(self, items, source=STORE):
-        """Apply changes of the store and return those that were new.
-
-        Parameters
-        ----------
-        source : str
-            Where the changes come from: `STORE`, or the host that sent them.
-        """
-        news = []
-        for item in items:
-            if self.replica.apply(item):
-                self.item_changed(item, source)
-                news.append(item)
-        self.change_log.finish()
-        return news
-
-    def apply_listing(self, prefix, items, revision, source=STORE):
-        """Apply a complete listing of a prefix and return the changes."""
-        is_from_store = source == STORE
-        changes = self.replica.replace(prefix, items, revision, is_from_store)
-        for item in changes:
-            self.item_changed(item, source)
-        self.change_log.finish()
-        return changes
-
     def record_confirmation(self, at):
         """Record that the store confirmed the replica's revision at ``at``."""
         replica = self.replica
@@ -172,7 +148,7 @@
             version=found.version,
             routes=len(found.routes),
             workspaces=len(found.workspaces),
-            revision=item.revision,
+            revision=item.revision.number,
             source=source,
         )
         for listener in self.on_configuration:
@@ -190,7 +166,7 @@
             reason=reason,
             version=version,
             in_force=0 if self.configuration is None else self.configuration.version,
-            revision=item.revision,
+            revision=item.revision.number,
             source=source,
         )
 
@@ -222,7 +198,7 @@
         if entry.is_leaving and not view.entry.is_leaving:
             if self.change_log.may_log():
                 events.TARGET_LEAVING.log(
-                    target=target_id, revision=item.revision, source=source
+                    target=target_id, revision=item.revision.number, source=source
                 )
         view.entry = entry
         view.cold_until = now + entry.cold_s if entry.cold_s else 0.0
@@ -235,15 +211,24 @@
         view = self.targets.get(target_id)
         if view is None:
             return
-        if now < return_by and not self.is_leaving(view.entry):
+        is_gone = self.news.kept.is_gone(self.formats.TARGET_PREFIX + target_id)
+        if now < return_by and not is_gone and not self.is_leaving(view.entry):
             self.awaiting_return[target_id] = return_by
             return
         self.remove_target(target_id, source)
 
+    def await_return(self, key):
+        """Keep a target for a while that the copy lacks from which the store came."""
+        target_id = key.removeprefix(self.formats.TARGET_PREFIX)
+        if target_id in self.targets and target_id not in self.awaiting_return:
+            recovered_at = max(self.store_recovered_at, self.started_at)
+            self.awaiting_return[target_id] = recovered_at + TARGET_RETURN_TIMEOUT_S
+
     def remove_unreturned_targets(self, now):
         """Remove the targets that did not register again in time after an outage."""
         for target_id, return_by in list(self.awaiting_return.items()):
             if now >= return_by:
+                self.news.kept.drop(self.formats.TARGET_PREFIX + target_id)
                 self.remove_target(target_id, NOT_RETURNED)
         self.change_log.finish()
 
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -4,8 +4,17 @@
 
 from .. import events
 from ..decisions.link_budget import BYTES_PER_MBIT
-from ..errors import HistoryLost, LeaseUnknown, PeerError, StoreError
+from ..decisions.store_history import NO_REVISION, UNNAMED_ERA
+from ..errors import (
+    HistoryLost,
+    HistoryReplaced,
+    LeaseUnknown,
+    PeerError,
+    StoreError,
+    StoreUnavailable,
+)
 from .copies import fetch_copy
+from .store_news import ALL_KEYS, MAX_LOGGED_KEYS
 
 # Duration of a long poll. A connection that has gone silent is detected after it.
 LONG_POLL_TIMEOUT_S = 1.0
@@ -33,6 +42,17 @@
 RENEW_INTERVAL_S = 4.0
 # Minimum pause after a failed registration; the host serves meanwhile.
 REGISTRATION_RETRY_S = 0.8
+# The hosts that the hubs appointed read a later history at once, the others after this
+# time and a random part of the second one, if none of them could.
+LATER_HISTORY_WAIT_S = 0.6
+LATER_HISTORY_SPREAD_S = 1.0
+# A host that starts asks others for what they keep against the store's copy.
+KEPT_STATES_TIMEOUT_S = 0.3
+MAX_ASKED_HOSTS = 3
+# Hosts that lost their registrations together take at most this share of the store's
+# writes.
+REGISTRATION_WRITES = 2
+REGISTRATION_SHARE = 0.5
 # Time after which this host's own write has arrived in its replica.
 REGISTRATION_CHECK_S = 1.5
 # A watch returns every version of a changed value. If the last page took the link for
@@ -40,9 +60,6 @@
 MAX_PAGE_TRANSFER_S = 0.2
 # The store encodes values in base64.
 ENCODED_SIZE_RATIO = 4 / 3
-ALL_KEYS = ""
-# Keys in the log line about a replica that differed.
-MAX_LOGGED_KEYS = 5
 
 
 class StoreFollower:
@@ -74,14 +91,17 @@
         self.corrections = set()
         # The newest revision that another host has announced, and since when this
         # host has been behind.
-        self.announced_revision = 0
+        self.announced_revision = NO_REVISION
         self.behind_since = 0.0
         self.must_list = False
         self.lease = None
+        # The write of the registration under that lease.
+        self.registered_at = NO_REVISION
         self.is_deregistered = False
         self.registration_lock = asyncio.Lock()
         gossip.on_newer_revision = self.newer_revision_seen
         gossip.on_difference = self.difference_seen
+        gossip.on_other_kept_states = self.other_kept_states_seen
 
     @property
     def settings(self):
@@ -98,10 +118,16 @@
     async def load(self):
         """Load a first copy from the store, or from a seed if the store fails."""
         while not self.is_loaded.is_set():
-            if await self.load_from_store() is None:
+            if self.view.replica.revision > NO_REVISION:
+                # The store has no configuration yet.
+                await self.watch_once()
+            elif await self.load_from_store() is None:
                 await self.load_from_seeds()
-            if not self.is_loaded.is_set():
-                await self.sleep_before_retry()
+                if not self.is_loaded.is_set():
+                    await self.sleep_before_retry()
+            else:
+                await self.load_kept_states()
+            self.finish_load("store")
 
     async def load_from_store(self):
         """Read all items; return the changes, or None if it failed."""
@@ -116,15 +142,24 @@
             reads.append(self.store.read_prefix(prefix))
         try:
             pages = await asyncio.gather(*reads)
+            check_one_history(pages)
         except StoreError as error:
             self.record_store_failure(error)
             return None
+        view = self.view
+        # Pages that are read one after the other are complete at the lowest revision.
+        revision = min(page.revision for page in pages)
         changes = []
-        for prefix, page in zip(prefixes, pages, strict=True):
-            changes += self.view.apply_listing(prefix, page.items, page.revision)
-        self.view.replica.advance(min(page.revision for page in pages))
+        if revision.is_in_later_history(view.replica.revision):
+            items = []
+            for page in pages:
+                items += page.items
+            changes = view.news.enter_history(items, revision)
+        else:
+            for prefix, page in zip(prefixes, pages, strict=True):
+                changes += view.news.apply_listing(prefix, page.items, page.revision)
+        view.replica.advance(revision)
         self.record_store_success()
-        self.finish_load("store")
         return changes
 
     async def load_from_seeds(self):
@@ -135,17 +170,45 @@
         for address, port in seeds:
             if (address, port) == own:
                 continue
-            if await self.fetch_from(address, port) and self.view.replica.revision:
+            if not await self.fetch_from(address, port):
+                continue
+            if self.view.replica.revision > NO_REVISION:
                 self.finish_load("host")
                 return
 
+    async def load_kept_states(self):
+        """Ask other hosts what they keep against the copy that the store came from.
+
+        Without it, a host that starts after the store came back would use the older
+        states of the copy.
+        """
+        if self.view.replica.revision.era == UNNAMED_ERA:
+            return
+        own_id = self.settings.host_id
+        others = [host for host in self.view.hosts.values() if host.host_id != own_id]
+        self.rng.shuffle(others)
+        asked = []
+        for host in others[:MAX_ASKED_HOSTS]:
+            fetch = self.fetch_from(host.address, host.control_port)
+            asked.append(asyncio.ensure_future(fetch))
+        try:
+            async with asyncio.timeout(KEPT_STATES_TIMEOUT_S):
+                for answered in asyncio.as_completed(asked):
+                    if await answered:
+                        return
+        except TimeoutError:
+            pass
+        finally:
+            for fetch in asked:
+                fetch.cancel()
+
     def finish_load(self, source):
         """Mark the first copy as loaded once a configuration is in force."""
         if self.is_loaded.is_set() or self.view.configuration is None:
             return
         events.FIRST_COPY_LOADED.log(
             source=source,
-            revision=self.view.replica.revision,
+            revision=self.view.replica.revision.number,
             targets=len(self.view.targets),
         )
         self.is_loaded.set()
@@ -160,7 +223,7 @@
             if watches != self.is_watching:
                 self.is_watching = watches
                 events.WATCH_ROLE_CHANGED.log(
-                    watching=watches, revision=self.view.replica.revision
+                    watching=watches, revision=self.view.replica.revision.number
                 )
             if not watches:
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
@@ -183,20 +246,27 @@
 
     def has_live_relay(self, now):
         """Tell whether other hosts relay the changes of the store."""
-        last_seen_at = self.gossip.membership.any_last_seen_at
-        if last_seen_at is None or now - last_seen_at > PEER_SILENCE_TIMEOUT_S:
+        if not self.hears_others(now):
             return False
         confirmed_at = self.view.replica.confirmed_at
         return confirmed_at is not None and now - confirmed_at < CONFIRMATION_TIMEOUT_S
 
+    def hears_others(self, now):
+        """Tell whether datagrams of other hosts arrive."""
+        last_seen_at = self.gossip.membership.any_last_seen_at
+        return last_seen_at is not None and now - last_seen_at <= PEER_SILENCE_TIMEOUT_S
+
     async def watch_once(self):
         """Make one long poll and apply its changes."""
         replica = self.view.replica
         after = replica.revision
         try:
             page = await self.store.watch(ALL_KEYS, after, LONG_POLL_TIMEOUT_S)
+        except HistoryReplaced as error:
+            await self.read_later_history(error.era)
+            return
         except HistoryLost as error:
-            events.HISTORY_LOST.log(revision=after, reason=str(error))
+            events.HISTORY_LOST.log(revision=after.number, reason=str(error))
             await self.list_once()
             return
         except StoreError as error:
@@ -204,7 +274,7 @@
             await self.sleep_before_retry()
             return
         self.record_store_success()
-        self.view.apply(page.items)
+        self.view.news.apply(page.items)
         replica.advance(page.revision)
         self.must_list = self.transfer_s(page.items) > MAX_PAGE_TRANSFER_S
         if page.items:
@@ -221,6 +291,19 @@
         self.must_list = self.transfer_s(changes) > MAX_PAGE_TRANSFER_S
         self.gossip.announce_changes(after)
 
+    async def read_later_history(self, era):
+        """Read all items of a later history, unless another host can send them."""
+        now = self.clock.now()
+        is_appointed = self.gossip.membership.watcher == self.settings.host_id
+        if not is_appointed and self.hears_others(now):
+            wait_s = LATER_HISTORY_WAIT_S
+            wait_s += self.rng.uniform(0.0, LATER_HISTORY_SPREAD_S)
+            until = now + wait_s
+            while self.view.replica.revision.era < era and self.clock.now() < until:
+                await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
+        if self.view.replica.revision.era < era:
+            await self.list_once()
+
     def transfer_s(self, items):
         """Return for how long items of the store take the link; 0 if not known."""
         if self.settings.link_mbps <= 0.0:
@@ -231,7 +314,7 @@
     def record_store_success(self):
         """Record a successful call to the store; log the end of an outage."""
         if self.store_failing:
-            events.STORE_REGAINED.log(revision=self.view.replica.revision)
+            events.STORE_REGAINED.log(revision=self.view.replica.revision.number)
         self.store_failing = False
         self.gossip.set_store_lost(False)
         self.view.record_confirmation(self.clock.now())
@@ -264,6 +347,15 @@
         self.fetches.add(task)
         task.add_done_callback(self.fetches.discard)
 
+    def other_kept_states_seen(self, host_id):
+        """Fetch what another host keeps against the store's copy."""
+        host = self.view.hosts.get(host_id)
+        if self.fetches or host is None:
+            return
+        task = asyncio.ensure_future(self.fetch_from(host.address, host.control_port))
+        self.fetches.add(task)
+        task.add_done_callback(self.fetches.discard)
+
     def difference_seen(self):
         """Read all items, since another host has others at the same revision."""
         if self.corrections or not self.is_loaded.is_set():
@@ -277,7 +369,7 @@
         while (changes := await self.load_from_store()) is None:
             await self.sleep_before_retry()
         events.REPLICA_CORRECTED.log(
-            revision=self.view.replica.revision,
+            revision=self.view.replica.revision.number,
             changes=len(changes),
             keys=[change.key for change in changes[:MAX_LOGGED_KEYS]],
         )
@@ -290,22 +382,15 @@
 
     async def fetch_from(self, address, port):
         """Fetch the changes from another host; return whether it answered."""
-        replica = self.view.replica
         source = f"{address}:{port}"
         try:
-            revision, is_complete, items = await fetch_copy(
-                address, port, self.settings.host_id, replica, self.clock
+            copy = await fetch_copy(
+                address, port, self.settings.host_id, self.view, self.clock
             )
         except PeerError:
             # ``fetch_copy`` has logged the reason.
             return False
-        if revision <= replica.revision:
-            return True
-        if is_complete:
-            self.view.apply_listing(ALL_KEYS, items, revision, source)
-        else:
-            self.view.apply(items, source)
-        replica.advance(revision)
+        self.view.news.apply_copy(copy, source)
         return True
 
     # Registration of this host
@@ -323,17 +408,52 @@
                     renewed_at = self.clock.now()
                     self.gossip.set_store_lost(self.store_failing)
                 await asyncio.sleep(REGISTRATION_CHECK_S)
-                if not self.view.is_registered():
-                    # The keys may be gone although the lease can still be renewed.
-                    self.lease = None
+                await self.check_registration()
             except LeaseUnknown:
-                events.LEASE_LOST.log(lease=self.lease or 0)
+                events.LEASE_LOST.log(
+                    lease=0 if self.lease is None else self.lease.number
+                )
                 self.lease = None
+                await asyncio.sleep(self.registration_pause_s())
             except StoreError as error:
                 events.REGISTRATION_DELAYED.log(reason=str(error))
                 self.gossip.set_store_lost(True)
                 await asyncio.sleep(self.rng.uniform(1.0, 2.0) * REGISTRATION_RETRY_S)
 
+    async def check_registration(self):
+        """Give up a lease that no longer keeps the registration of this host.
+
+        Raises
+        ------
+        LeaseUnknown
+            If the store came back from a copy in which this host is not registered
+            under its lease, whose number may be given out again.
+        """
+        if self.lease is None:
+            return
+        if self.view.replica.revision.era > self.lease.era:
+            self.carry_lease_over()
+        if not self.view.is_registered():
+            # The keys may be gone although the lease can still be renewed.
+            self.lease = None
+
+    def carry_lease_over(self):
+        """Go on with the lease in a later history if the copy has the registration."""
+        key, _ = self.formats.encode_host(self.settings)
+        item = self.view.replica.items.get(key)
+        if item is None or not item.revision.is_copied_from(self.registered_at):
+            raise LeaseUnknown(str(self.lease.number))
+        self.registered_at = item.revision
+        self.lease = self.lease._replace(era=item.revision.era)
+
+    def registration_pause_s(self):
+        """Return a random pause that spreads the registrations of all hosts."""
+        settings = self.settings
+        writes_per_s = REGISTRATION_SHARE * max(1.0, settings.store_writes_per_s)
+        spread_s = REGISTRATION_WRITES * self.view.host_count / writes_per_s
+        pause_s = self.rng.uniform(RETRY_MIN_S, max(RETRY_MAX_S, spread_s))
+        return pause_s
+
     async def register(self):
         """Write the registration under a new lease."""
         async with self.registration_lock:
@@ -342,7 +462,7 @@
             key, value = self.formats.encode_host(self.settings)
             ttl_s = max(LEASE_TTL_S, self.settings.min_lease_s)
             lease = await self.store.create_lease(ttl_s)
-            await self.store.write(key, value, lease)
+            self.registered_at = await self.store.write(key, value, lease)
             self.lease = lease
 
     async def deregister(self):
@@ -351,7 +471,15 @@
         async with self.registration_lock:
             if self.lease is None:
                 return
+            key, _ = self.formats.encode_host(self.settings)
             try:
-                await self.store.end_lease(self.lease)
+                await self.store.remove(key, self.registered_at)
             except StoreError as error:
                 events.REGISTRATION_DELAYED.log(reason=str(error))
+
+
+def check_one_history(pages):
+    """Raise ``StoreUnavailable`` unless all pages are of one history of the store."""
+    for page in pages:
+        if not page.revision.is_in_same_history(pages[0].revision):
+            raise StoreUnavailable("the store came back from a copy between two reads")
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -20,6 +20,7 @@
 from .observations import ObservationReceiver
 from .outbox import URGENT, Outbox, TrafficCount
 from .patches import PatchMaker, restore_items
+from .wire_revisions import era_field, revision_from_wire
 
 # Delays of batches of findings, at the host that made them and, at the least, at a hub.
 BATCH_DELAY_S = 0.01
@@ -42,6 +43,8 @@
 MAX_REASON_LENGTH = 200
 # Larger datagrams may be fragmented or lost; larger changes are fetched by TCP.
 MAX_CHANGE_BYTES = 900
+# Minimum interval at which a host asks others for what they keep.
+KEPT_STATES_INTERVAL_S = 0.5
 # The field of the message has 16 bits with a sign.
 MAX_INCARNATION = 2**15
 
@@ -63,6 +66,8 @@
         revision.
     on_difference : callable or None
         Called when another host at the same revision has other items.
+    on_other_kept_states : callable or None
+        Called with the id of a host that keeps other states against the store's copy.
     """
 
     def __init__(self, view, crashes, clock):
@@ -97,6 +102,9 @@
         view.rate_limits.contact_tracker = self.contact
         self.on_newer_revision = None
         self.on_difference = None
+        self.on_other_kept_states = None
+        # When this host last asked another one for what it keeps.
+        self.asked_for_kept_at = float("-inf")
 
     @property
     def settings(self):
@@ -335,8 +343,8 @@
 
         Parameters
         ----------
-        after : int
-            Revision that this host knew before the changes arrived.
+        after : StoreRevision
+            What this host knew before the changes arrived.
         """
         items = self.view.replica.changes_after(after) or ()
         changes, patches = self.patch_maker.split_changes(
@@ -351,7 +359,7 @@
         if 0 < size <= MAX_CHANGE_BYTES:
             message.changes = changes or None
             message.patches = patches or None
-            message.changes_after = after
+            message.changes_after = after.number
         if self.membership.is_hub:
             members = self.membership.hosts_of(self.settings.failure_domain).values()
             self.send(message, [*members, *self.membership.other_hubs()])
@@ -368,8 +376,10 @@
             host_id=self.settings.host_id,
             failure_domain=self.settings.failure_domain,
             to_hub=to_hub,
-            revision=replica.revision,
+            revision=replica.revision.number,
             store_lost=self.membership.store_lost,
+            era=era_field(replica.revision),
+            kept=self.view.news.kept.digest(replica.items) or None,
         )
         if self.membership.is_hub:
             message.watcher = self.membership.watcher
@@ -436,9 +446,12 @@
             self.queue_for_forwarding(message)
         self.apply_changes(message)
         self.compare_replicas(message, now)
+        self.compare_kept_states(message, now)
         if message.confirmed_ms is None:
             return
-        if self.view.replica.revision >= message.revision:
+        confirmed = revision_from_wire(message.era, message.revision)
+        known = self.view.replica.revision
+        if known.is_in_same_history(confirmed) and known >= confirmed:
             self.view.record_confirmation(now - message.confirmed_ms / 1000)
 
     def queue_for_forwarding(self, message):
@@ -470,23 +483,25 @@
     def apply_changes(self, message):
         """Apply changes of the store, or request those that are missing."""
         replica = self.view.replica
-        if message.revision <= replica.revision:
+        revision = revision_from_wire(message.era, message.revision)
+        if revision <= replica.revision:
             return
         items = self.decode_changes(message)
         if items is None:
             if self.on_newer_revision is not None:
-                self.on_newer_revision(message.host_id, message.revision)
+                self.on_newer_revision(message.host_id, revision)
             return
         before = replica.revision
-        self.view.apply(items, message.host_id)
-        replica.advance(message.revision)
+        self.view.news.apply(items, message.host_id)
+        replica.advance(revision)
         if self.membership.is_hub:
             self.announce_changes(before)
 
     def compare_replicas(self, message, now):
         """Compare the store's items with those of a host at the same revision."""
         replica = self.view.replica
-        if message.digest is None or message.revision != replica.revision:
+        revision = revision_from_wire(message.era, message.revision)
+        if message.digest is None or revision != replica.revision:
             return
         digest = replica.digest()
         if digest is None:
@@ -495,20 +510,39 @@
         if not self.agreement.compare(is_same, self.membership.is_hub, now):
             return
         events.REPLICA_DIFFERS.log(
-            peer=message.host_id, revision=replica.revision, items=len(replica.items)
+            peer=message.host_id,
+            revision=replica.revision.number,
+            items=len(replica.items),
         )
         if self.on_difference is not None:
             self.on_difference()
 
+    def compare_kept_states(self, message, now):
+        """Ask another host for what it keeps if that differs."""
+        replica = self.view.replica
+        revision = revision_from_wire(message.era, message.revision)
+        if message.era is None or not revision.is_in_same_history(replica.revision):
+            return
+        if (message.kept or 0) == self.view.news.kept.digest(replica.items):
+            return
+        if now - self.asked_for_kept_at < KEPT_STATES_INTERVAL_S:
+            return
+        self.asked_for_kept_at = now
+        if self.on_other_kept_states is not None:
+            self.on_other_kept_states(message.host_id)
+
     def decode_changes(self, message):
         """Return the items of a message, or None if they do not suffice."""
-        after = message.changes_after
-        if after is None or after > self.view.replica.revision:
+        if message.changes_after is None:
+            return None
+        replica = self.view.replica
+        after = revision_from_wire(message.era, message.changes_after)
+        if not after.is_in_same_history(replica.revision) or after > replica.revision:
             return None
         if not message.changes and not message.patches:
             return None
         try:
-            return restore_items(self.view.replica, message.changes, message.patches)
+            return restore_items(replica, after.era, message.changes, message.patches)
         except PatchBaseMissing as error:
             events.PATCH_NOT_APPLICABLE.log(source=message.host_id, reason=str(error))
         except MessageRejected as error:
--- a/oleanderroute/host/gossip_checks.py
+++ b/oleanderroute/host/gossip_checks.py
@@ -27,6 +27,8 @@
     check_range("confirmed_ms", message.confirmed_ms, MAX_AGE_MS)
     check_range("changes_after", message.changes_after, message.revision)
     check_range("digest", message.digest)
+    check_range("era", message.era)
+    check_range("kept", message.kept)
     check_range("number of reached domains", len(message.reached or ()), MAX_LISTED)
     check_range("number of silent hosts", len(message.silent or ()), MAX_LISTED)
     for change in (*(message.changes or ()), *(message.patches or ())):
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ..decisions.store_history import NO_REVISION, StoreRevision
 from ..ids import (
     FailureDomain,
     HostId,
@@ -146,6 +147,8 @@
         Seconds, from the time of the entry, during which it is slow after its start.
     started_ms : int
         Unix milliseconds of its start; another value is another incarnation.
+    report_number : int
+        Counts the reports of this incarnation; 0 if it does not count them.
     """
 
     target_id: TargetId
@@ -157,6 +160,7 @@
     is_leaving: bool
     cold_s: float
     started_ms: int
+    report_number: int = 0
 
     @property
     def incarnation(self):
@@ -213,6 +217,8 @@
         File descriptors that the process may open; 0 if it is not known.
     rate_limit_window_s : float
         Length of the windows in which the rate limits of workspaces must hold.
+    store_writes_per_s : float
+        Writes per second that the store takes from all hosts together.
     """
 
     host_id: HostId
@@ -235,6 +241,7 @@
     memory_limit_bytes: int = 0
     descriptor_limit: int = 0
     rate_limit_window_s: float = 5.0
+    store_writes_per_s: float = 400.0
 
 
 @dataclass(slots=True)
@@ -248,7 +255,7 @@
     """
 
     key: str
-    revision: int
+    revision: StoreRevision
     value: bytes | None
 
 
@@ -257,4 +264,4 @@
     """Items and the store's revision when they were read."""
 
     items: list[StoreItem] = field(default_factory=list)
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
--- a/oleanderroute/host/patches.py
+++ b/oleanderroute/host/patches.py
@@ -4,6 +4,7 @@
 bytes of it. A large value is therefore sent as a patch of one that the receiver has.
 """
 
+from ..decisions.store_history import StoreRevision
 from ..errors import PatchBaseMissing
 from ..peer.compression import compress, decompress
 from ..peer.gen.oleander_gossip.ttypes import ItemChange, ItemPatch
@@ -42,14 +43,14 @@
         patches = []
         for item in items:
             if item.value is None or len(item.value) < MIN_PATCHED_BYTES:
-                changes.append(ItemChange(item.key, item.revision, item.value))
+                changes.append(plain_change(item))
                 continue
             patches.append(self.make_patch(item, bases.get(item.key)))
         return changes, patches
 
     def make_patch(self, item, base):
         """Return the patch of ``item``, to ``base`` or, if it is None, to nothing."""
-        base_revision = 0 if base is None else base.revision
+        base_revision = 0 if base is None else base.revision.number
         cached = (item.key, item.revision, base_revision)
         content = self.cache.get(cached)
         if content is None:
@@ -57,7 +58,7 @@
             while len(self.cache) >= MAX_CACHED_PATCHES:
                 del self.cache[next(iter(self.cache))]
             self.cache[cached] = content
-        return ItemPatch(item.key, item.revision, base_revision, content)
+        return ItemPatch(item.key, item.revision.number, base_revision, content)
 
     def bases_before(self, items, revision):
         """Return the large values that a replica at ``revision`` has of some keys."""
@@ -69,26 +70,37 @@
         return bases
 
     def bases_at(self, revisions):
-        """Return the kept values that have the given revisions, by key."""
+        """Return the kept values of this history with the given numbers, by key."""
         bases = {}
-        for key, revision in revisions.items():
+        for key, number in revisions.items():
+            revision = StoreRevision(self.replica.revision.era, number)
             base = self.replica.value_at(key, revision)
             if base is not None:
                 bases[key] = base
         return bases
 
 
+def plain_change(item):
+    """Return the ``ItemChange`` of an item."""
+    return ItemChange(item.key, item.revision.number, item.value)
+
+
+def plain_changes(items):
+    """Return the ``ItemChange`` list of some items."""
+    return [plain_change(item) for item in items]
+
+
 def large_revisions(replica):
-    """Return the revision of each large value of a replica, by key."""
+    """Return the number of the revision of each large value of a replica, by key."""
     revisions = {}
     for item in replica.items.values():
         if len(item.value) >= MIN_PATCHED_BYTES:
-            revisions[item.key] = item.revision
+            revisions[item.key] = item.revision.number
     return revisions
 
 
-def restore_items(replica, changes, patches):
-    """Return the ``StoreItem`` list of received changes and patches.
+def restore_items(replica, era, changes, patches):
+    """Return the ``StoreItem`` list of received changes and patches of one history.
 
     Of a large value that the replica knows in this state or a newer one, the replica's
     own item is returned, so that a listing still holds its key.
@@ -102,19 +114,21 @@
     """
     items = []
     for change in changes or ():
-        items.append(StoreItem(change.key, change.revision, change.value))
+        revision = StoreRevision(era, change.revision)
+        items.append(StoreItem(change.key, revision, change.value))
     for patch in patches or ():
-        if patch.revision <= replica.revision_of(patch.key):
+        revision = StoreRevision(era, patch.revision)
+        if revision <= replica.revision_of(patch.key):
             known = replica.items.get(patch.key)
             if known is not None:
                 items.append(known)
             continue
         base = b""
         if patch.base_revision:
-            known = replica.value_at(patch.key, patch.base_revision)
+            known = replica.value_at(patch.key, StoreRevision(era, patch.base_revision))
             if known is None:
                 raise PatchBaseMissing(f"{patch.key} at {patch.base_revision}")
             base = known.value
         value = decompress(patch.patch, base, MAX_VALUE_BYTES)
-        items.append(StoreItem(patch.key, patch.revision, value))
+        items.append(StoreItem(patch.key, revision, value))
     return items
--- a/oleanderroute/host/repeat_records.py
+++ b/oleanderroute/host/repeat_records.py
@@ -9,6 +9,7 @@
     merge_spent,
     repeats_to_record,
 )
+from ..decisions.store_history import NO_REVISION
 from ..errors import DocumentError, LeaseUnknown, StoreError
 
 CHECK_INTERVAL_S = 0.1
@@ -54,7 +55,7 @@
             events.REPEAT_RECORD_REFUSED.log(host=host_id, reason=str(error))
             return
         self.by_host[host_id] = record
-        if self.view.replica.revision == 0:
+        if self.view.replica.revision == NO_REVISION:
             for service, spent in self.merged().items():
                 self.view.allowance_of(service).assume_earlier(spent)
 
@@ -96,6 +97,7 @@
         self.lease = None
         self.renewed_at = 0.0
         self.written = {}
+        self.written_at = NO_REVISION
         self.lacking_since = None
 
     async def run(self):
@@ -121,6 +123,8 @@
         ------
         StoreError, LeaseUnknown
         """
+        if self.lease is not None and self.is_of_earlier_history():
+            self.forget()
         if self.lease is None:
             # Of other hosts, and of an earlier process of this one.
             known = self.view.repeat_records.merged()
@@ -130,9 +134,10 @@
             return
         due = self.due_record(self.written, now)
         if not due or self.is_covered_before(now):
-            lease = self.lease
+            key, _ = self.formats.encode_repeats(self.view.settings.host_id, {})
+            written_at = self.written_at
             self.forget()
-            await self.store.end_lease(lease)
+            await self.store.remove(key, written_at)
         elif covered(due) != covered(self.written):
             await self.write(due, now)
         elif now - self.renewed_at >= RENEW_INTERVAL_S:
@@ -185,16 +190,25 @@
             self.lease = await self.store.create_lease(max(ttl_s, settings.min_lease_s))
             self.renewed_at = now
         key, value = self.formats.encode_repeats(self.view.settings.host_id, record)
-        await self.store.write(key, value, self.lease)
+        self.written_at = await self.store.write(key, value, self.lease)
         self.written = record
         events.REPEATS_RECORDED.log(
             services=len(record), repeats=sum(covered(record).values())
         )
 
+    def is_of_earlier_history(self):
+        """Tell whether the store came back from a copy since it gave out the lease.
+
+        The record may be gone, and the number of the lease may name another one. If the
+        copy has the record, it lasts until its lease ends there.
+        """
+        return self.view.replica.revision.era > self.lease.era
+
     def forget(self):
         """Start anew without a record."""
         self.lease = None
         self.written = {}
+        self.written_at = NO_REVISION
         self.lacking_since = None
 
 
--- a/oleanderroute/peer/gen/oleander_gossip/ttypes.py
+++ b/oleanderroute/peer/gen/oleander_gossip/ttypes.py
@@ -605,6 +605,8 @@
      - digest
      - reached
      - silent
+     - era
+     - kept
 
     """
 
@@ -625,10 +627,12 @@
         'digest',
         'reached',
         'silent',
+        'era',
+        'kept',
     )
 
 
-    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None, digest=None, reached=None, silent=None,):
+    def __init__(self, host_id=None, failure_domain=None, to_hub=None, revision=None, confirmed_ms=None, observations=None, crashes=None, changes_after=None, changes=None, heard=None, store_lost=None, watcher=None, patches=None, digest=None, reached=None, silent=None, era=None, kept=None,):
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.to_hub = to_hub
@@ -645,6 +649,8 @@
         self.digest = digest
         self.reached = reached
         self.silent = silent
+        self.era = era
+        self.kept = kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -774,6 +780,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.kept = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -869,6 +885,14 @@
                 oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 17)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.I64, 18)
+            oprot.writeI64(self.kept)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -902,12 +926,139 @@
         return not (self == other)
 
 
+class KeptItem(object):
+    """
+    Attributes:
+     - key
+     - era
+     - revision
+     - value
+     - is_gone
+
+    """
+
+    __slots__ = (
+        'key',
+        'era',
+        'revision',
+        'value',
+        'is_gone',
+    )
+
+
+    def __init__(self, key=None, era=None, revision=None, value=None, is_gone=None,):
+        self.key = key
+        self.era = era
+        self.revision = revision
+        self.value = value
+        self.is_gone = is_gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeptItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 4)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.is_gone is not None:
+            oprot.writeFieldBegin('is_gone', TType.BOOL, 5)
+            oprot.writeBool(self.is_gone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
+        if self.is_gone is None:
+            raise TProtocolException(message='Required field is_gone is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CopyRequest(object):
     """
     Attributes:
      - host_id
      - after_revision
      - bases
+     - era
 
     """
 
@@ -915,13 +1066,15 @@
         'host_id',
         'after_revision',
         'bases',
+        'era',
     )
 
 
-    def __init__(self, host_id=None, after_revision=None, bases=None,):
+    def __init__(self, host_id=None, after_revision=None, bases=None, era=None,):
         self.host_id = host_id
         self.after_revision = after_revision
         self.bases = bases
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -953,6 +1106,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -979,6 +1137,10 @@
                 oprot.writeI64(viter64)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1016,6 +1178,9 @@
      - items
      - patches
      - packed
+     - era
+     - kept
+     - listed_at
 
     """
 
@@ -1025,15 +1190,21 @@
         'items',
         'patches',
         'packed',
+        'era',
+        'kept',
+        'listed_at',
     )
 
 
-    def __init__(self, revision=None, is_complete=None, items=None, patches=None, packed=None,):
+    def __init__(self, revision=None, is_complete=None, items=None, patches=None, packed=None, era=None, kept=None, listed_at=None,):
         self.revision = revision
         self.is_complete = is_complete
         self.items = items
         self.patches = patches
         self.packed = packed
+        self.era = era
+        self.kept = kept
+        self.listed_at = listed_at
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1081,6 +1252,27 @@
                     self.packed = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.kept = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = KeptItem()
+                        _elem82.read(iprot)
+                        self.kept.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.listed_at = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1102,21 +1294,36 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter77 in self.items:
-                iter77.write(oprot)
+            for iter83 in self.items:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patches is not None:
             oprot.writeFieldBegin('patches', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.patches))
-            for iter78 in self.patches:
-                iter78.write(oprot)
+            for iter84 in self.patches:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.packed is not None:
             oprot.writeFieldBegin('packed', TType.STRING, 5)
             oprot.writeBinary(self.packed)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.kept))
+            for iter85 in self.kept:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.listed_at is not None:
+            oprot.writeFieldBegin('listed_at', TType.I64, 8)
+            oprot.writeI64(self.listed_at)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1207,6 +1414,17 @@
     (14, TType.I64, 'digest', None, None, ),  # 14
     (15, TType.LIST, 'reached', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.LIST, 'silent', (TType.STRING, 'UTF8', False), None, ),  # 16
+    (17, TType.I64, 'era', None, None, ),  # 17
+    (18, TType.I64, 'kept', None, None, ),  # 18
+)
+all_structs.append(KeptItem)
+KeptItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (5, TType.BOOL, 'is_gone', None, None, ),  # 5
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
@@ -1214,6 +1432,7 @@
     (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'after_revision', None, None, ),  # 2
     (3, TType.MAP, 'bases', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(CopyReply)
 CopyReply.thrift_spec = (
@@ -1223,6 +1442,9 @@
     (3, TType.LIST, 'items', (TType.STRUCT, [ItemChange, None], False), None, ),  # 3
     (4, TType.LIST, 'patches', (TType.STRUCT, [ItemPatch, None], False), None, ),  # 4
     (5, TType.STRING, 'packed', 'BINARY', None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
+    (7, TType.LIST, 'kept', (TType.STRUCT, [KeptItem, None], False), None, ),  # 7
+    (8, TType.I64, 'listed_at', None, None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/oleanderroute/platform/documents.py
+++ b/oleanderroute/platform/documents.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from ..decisions.kept_states import StateOrder
 from ..decisions.spent_repeats import SpentRepeats
 from ..errors import DocumentError
 from ..host.model import (
@@ -136,11 +137,7 @@
     """
     document = parse_object(value, "$")
     yield
-    version = required_field(document, "version", str, "$")
-    try:
-        number = int(version, 16)
-    except ValueError as error:
-        raise DocumentError("$.version", "not hexadecimal") from error
+    number = decode_version(document)
     resources = required_field(document, "resources", list, "$")
     has_workspaces = any(is_workspace(resource) for resource in resources)
     routes = []
@@ -183,6 +180,15 @@
     )
 
 
+def decode_version(document):
+    """Return the version of a configuration's document."""
+    version = required_field(document, "version", str, "$")
+    try:
+        return int(version, 16)
+    except ValueError as error:
+        raise DocumentError("$.version", "not hexadecimal") from error
+
+
 def is_workspace(resource):
     """Tell whether a resource of the configuration is a workspace."""
     return isinstance(resource, dict) and resource.get("resourceType") == WORKSPACES
@@ -389,6 +395,9 @@
         f"{key}.status.coldRemainingMs",
     )
     born = bounded_number(document.get("born", 0), int, 0, MAX_UNIX_MS, f"{key}.born")
+    report_number = status.get("seqNo")
+    if isinstance(report_number, bool) or not isinstance(report_number, int):
+        report_number = 0
     service = required_field(info, "service", str, key)
     if not service:
         raise DocumentError(f"{key}.info.service", "empty")
@@ -402,6 +411,7 @@
         is_leaving=IS_LEAVING_BY_STATE[state],
         cold_s=max(0.0, cold_ms / 1000),
         started_ms=born,
+        report_number=report_number,
     )
 
 
@@ -432,6 +442,28 @@
         raise DocumentError(path, "not an IPv4 address") from error
 
 
+def state_order(key, value):
+    """Return the ``StateOrder`` of a configuration or a target's entry.
+
+    Returns
+    -------
+    StateOrder or None
+        None for other keys and for a value that can't be decoded.
+    """
+    try:
+        if key == CONFIGURATION_KEY:
+            version = decode_version(parse_object(value, "$"))
+            return StateOrder((version,), is_final=True)
+        if key.startswith(TARGET_PREFIX):
+            entry = decode_target(key, value)
+            rank = (entry.started_ms, entry.report_number)
+            return StateOrder(rank, entry.is_leaving)
+    except DocumentError:
+        # Whoever uses the value logs the reason.
+        return None
+    return None
+
+
 def decode_host(key, value):
     """Decode the registration of a host of the fleet.
 
--- a/oleanderroute/platform/node_file.py
+++ b/oleanderroute/platform/node_file.py
@@ -9,6 +9,7 @@
 
 NODE_FILE_VARIABLE = "OLEANDERROUTE_NODE_FILE"
 MIN_LEASE_FIELD = "platform.ttlMinMs"
+WRITES_FIELD = "platform.writesPerS"
 LINK_FIELD = "limits.linkMbps"
 MEMORY_FIELD = "limits.memoryMb"
 DESCRIPTORS_FIELD = "limits.maxFds"
@@ -84,6 +85,9 @@
             parse_number(fields.get(DESCRIPTORS_FIELD) or "0", DESCRIPTORS_FIELD)
         ),
         rate_limit_window_s=bounds.get("quotaWindowS", 5.0),
+        store_writes_per_s=parse_number(
+            fields.get(WRITES_FIELD) or "400", WRITES_FIELD
+        ),
     )
 
 
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -1,7 +1,8 @@
 """Stand-in of the users' metadata store; it speaks their published protocol.
 
 Run it as ``python -m standins.metastore --port PORT``. Faults are switched under
-``/control``, which no fault affects.
+``/control``, which no fault affects. It also plays a drill: ``keep`` keeps a copy;
+``away_s`` resets all calls for so many seconds, and then goes on from the copy.
 """
 
 import asyncio
@@ -31,6 +32,9 @@
         # Addresses that meet the fault; empty means all.
         self.refused = []
         self.calls = {}
+        self.era = 1
+        self.kept = None
+        self.is_away = False
 
     def application(self):
         """Return the aiohttp application."""
@@ -46,8 +50,13 @@
         app.router.add_delete("/kv-lease-end/{lease}", self.delete_lease)
         app.router.add_post("/control", self.post_control)
         app.router.add_get("/control", self.get_control)
+        app.on_response_prepare.append(self.add_era)
         return app
 
+    async def add_era(self, request, response):
+        """Name the history of the store in an answer."""
+        response.headers["Store-Era"] = str(self.era)
+
     @web.middleware
     async def meet_fault(self, request, handler):
         """Count a call and let it meet the fault in force."""
@@ -55,6 +64,9 @@
             return await handler(request)
         name = request.path.split("/")[1]
         self.calls[name] = self.calls.get(name, 0) + 1
+        if self.is_away:
+            request.transport.abort()
+            return web.Response()
         if self.mode == "ok" or (self.refused and request.remote not in self.refused):
             return await handler(request)
         if self.mode in BUSY_STATUS:
@@ -97,8 +109,12 @@
         prefix = request.query.get("prefix", "")
         after = int(request.query["after"])
         ends_at = time.monotonic() + int(request.query["waitMs"]) / 1000
+        era = self.era
         while True:
             self.expire()
+            if self.is_away or self.era != era:
+                request.transport.abort()
+                return web.Response()
             events = self.store.events(prefix, after)
             if events is None:
                 return web.json_response({}, status=410)
@@ -159,7 +175,20 @@
         self.refused = body.get("refused", self.refused)
         if body.get("compact"):
             self.store.compact()
-        return web.json_response({})
+        if body.get("keep"):
+            self.kept = self.store.copy(time.monotonic())
+        if "away_s" in body:
+            await self.drill(body["away_s"])
+        return web.json_response({"revision": self.store.revision})
+
+    async def drill(self, away_s):
+        """Go away and come back from the kept copy."""
+        self.is_away = True
+        await asyncio.sleep(away_s)
+        self.store = self.kept.restored(time.monotonic())
+        self.era += 1
+        self.is_away = False
+        self.wake()
 
     async def get_control(self, request):
         """Answer the calls so far and the keys."""
--- a/standins/metastore_state.py
+++ b/standins/metastore_state.py
@@ -1,5 +1,6 @@
 """State of the metadata store's stand-in: items, history and leases."""
 
+import copy
 from dataclasses import dataclass
 
 FIRST_REVISION = 100
@@ -25,6 +26,7 @@
         self.history = []
         self.leases = {}
         self.next_lease = 1
+        self.copied_at = 0.0
 
     def put(self, key, value, lease=0):
         """Write a key."""
@@ -55,7 +57,7 @@
 
     def events(self, prefix, after):
         """Return the changes after a revision, or None if they are forgotten."""
-        if after < self.oldest:
+        if after < self.oldest or after > self.revision:
             return None
         found = []
         for revision, event in self.history:
@@ -68,6 +70,22 @@
         self.history = []
         self.oldest = self.revision
 
+    def copy(self, now):
+        """Return a copy of the state."""
+        copied = copy.deepcopy(self)
+        copied.copied_at = now
+        return copied
+
+    def restored(self, now):
+        """Return the state with which the store goes on from this copy.
+
+        The time of its leases has stood still.
+        """
+        state = copy.deepcopy(self)
+        for lease in state.leases.values():
+            lease[1] += now - self.copied_at
+        return state
+
     def create_lease(self, ttl_ms, now):
         """Return the id of a new lease."""
         lease = self.next_lease
