Store calls: a watcher that is no hub tells its hub at once that the store has answered

What the store saw: after an outage all hosts of a domain watched the store now and then, though one was appointed to do so for them.

Cause: a member that watches told its hub of a confirmation with its next heartbeat, up to 0.4 s later; with the hub's own 0.25 s and the 1.0 s of the watch it could be 1.5 s old by then, after which hosts watch for themselves.

Change: after a watch that brought no change a member sends the heartbeat at once. It is one datagram a second for each failure domain whose watcher is no hub.

Test: three rows of store_changes.feature.

--- a/features/steps/store_changes_steps.py
+++ b/features/steps/store_changes_steps.py
@@ -40,6 +40,10 @@
 # Bound on a change until it is in force, of the users' pages.
 APPLY_S = 2.0
 WRITING_S = 1.5
+START_SPREAD_S = 0.3
+# Long enough for a watch to fail.
+REFUSED_S = 1.2
+COUNTED_S = 10.0
 # A copy takes two round trips between two hosts.
 UNDER_WAY_S = 2 * LATENCY_S
 LEAVING_ENTRY = target_entry(1, state="draining")
@@ -393,6 +397,38 @@
     assert context.states == [True, False], context.states
 
 
+@when(
+    "store changes: the store refuses the hubs once, and {pass_s:d} s pass, seed "
+    "{seed:d}"
+)
+def step_refuse_hubs(context, pass_s, seed):
+    fleet = context.fleet
+    fleet.loop.rng.seed(seed)
+    fleet.start_spread_s = START_SPREAD_S
+
+    async def scenario():
+        await asyncio.sleep(3.0)
+        for host in fleet.hosts.values():
+            if host.gossip.membership.is_hub:
+                until = fleet.loop.now + REFUSED_S
+                fleet.shared.refused_until[host.settings.address] = until
+        await asyncio.sleep(pass_s - COUNTED_S)
+        before = dict(fleet.shared.watches_by_address)
+        await asyncio.sleep(COUNTED_S)
+        context.watching = set()
+        for address, watches in fleet.shared.watches_by_address.items():
+            if watches > before.get(address, 0):
+                context.watching.add(address)
+
+    fleet.run(scenario())
+
+
+@then("store changes: at most two hosts have watched the store in the last 10 s")
+def step_few_watch(context):
+    # One for each failure domain.
+    assert len(context.watching) <= 2, context.watching
+
+
 def choose_hosts(fleet, name):
     """Return the hosts that a row names, all of the first failure domain."""
     of_domain = [host for key, host in fleet.hosts.items() if key.startswith("edge-0-")]
--- a/features/store_changes.feature
+++ b/features/store_changes.feature
@@ -103,6 +103,19 @@
     When store changes: a host deregisters and drains for 5.6 s
     Then store changes: its entry stays removed
 
+  # Guards against hosts that all watch the store although one does so for them, as the
+  # confirmations of a watcher that is no hub reach them too late.
+  Scenario Outline: Store changes: A watcher that is no hub spares the others their calls, seed <seed>
+    Given store changes: 2 failure domains of 5 hosts, 5 targets and a large configuration
+    When store changes: the store refuses the hubs once, and 20 s pass, seed <seed>
+    Then store changes: at most two hosts have watched the store in the last 10 s
+
+    Examples:
+      | seed |
+      | 0    |
+      | 4    |
+      | 11   |
+
   # Guards against one odd entry of another writer that stops a host from reading the
   # entries beside it, that a host takes for a target, or that breaks a request or a
   # message of the host later (operators' report).
--- a/features/support/thin_links.py
+++ b/features/support/thin_links.py
@@ -299,6 +299,8 @@
 
     async def watch(self, prefix, after, wait_s):
         self.count_call()
+        watches = self.shared.watches_by_address
+        watches[self.address] = watches.get(self.address, 0) + 1
         ends_at = self.loop.now + wait_s
         era = self.shared.era
         while True:
@@ -370,6 +372,7 @@
         self.is_away = False
         self.calls = 0
         self.calls_by_address = {}
+        self.watches_by_address = {}
         self.listings = 0
         self.writes_by_key = {}
         self.late_share = 0.0
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -292,6 +292,7 @@
             await asyncio.sleep(BATCH_PAUSE_S)
         elif self.clock.now() - called_at >= MIN_CALL_S:
             self.idle_watches = 0
+            self.gossip.announce_confirmation()
         else:
             await self.pause_after_idle_watch()
 
--- a/oleanderroute/host/gossip.py
+++ b/oleanderroute/host/gossip.py
@@ -368,6 +368,14 @@
         if hub is not None:
             self.send(message, [hub])
 
+    def announce_confirmation(self):
+        """Tell the hub at once that the store has confirmed the replica.
+
+        With the next heartbeat it might reach the others too late for them to rely on.
+        """
+        if not self.membership.is_hub:
+            self.flush_to_own_hub(is_heartbeat=True)
+
     def make_message(self, outbox, to_hub):
         """Return a message with the next batch of ``outbox``."""
         replica = self.view.replica
