--- a/oleanderroute/host/hostmetrics.py
+++ b/oleanderroute/host/hostmetrics.py
@@ -73,6 +73,26 @@
             "store had other items.",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "oleander_host_store_era",
+            "Era of the store's history that this host knows; 0 if it names none.",
+            registry=registry,
+        )
+        self.store_histories = Gauge(
+            "oleander_host_store_histories_entered",
+            "Times since the start that the store came back from an older copy.",
+            registry=registry,
+        )
+        self.kept_states = Gauge(
+            "oleander_host_kept_states",
+            "Keys whose newer state stays in use against the store's copy.",
+            registry=registry,
+        )
+        self.unreadable_eras = Gauge(
+            "oleander_host_unreadable_eras",
+            "Answers of the store since the start without a readable era.",
+            registry=registry,
+        )
         self.memory_held = Gauge(
             "oleander_host_memory_held_bytes",
             "Bytes that requests and connections hold of the memory budget.",
--- a/oleanderroute/host/main.py
+++ b/oleanderroute/host/main.py
@@ -100,7 +100,7 @@
             self.view, self.store, self.gossip.membership, documents, self.clock
         )
         self.copies = CopyServer(self.view, self.clock)
-        self.summary = SummaryLog(self.view, self.gossip, self.metrics)
+        self.summary = SummaryLog(self.view, self.gossip, self.metrics, self.store)
         self.limits = ResourceLimits(settings, process_bytes())
         self.pool.total_limit = self.limits.target_connections
         if self.limits.budget_bytes:
--- a/oleanderroute/host/summary.py
+++ b/oleanderroute/host/summary.py
@@ -14,10 +14,12 @@
     view : FleetView
     gossip : GossipTask
     metrics : HostMetrics
+    store : KvClient
     """
 
-    def __init__(self, view, gossip, metrics):
+    def __init__(self, view, gossip, metrics, store):
         self.view = view
+        self.store = store
         self.gossip = gossip
         self.metrics = metrics
         self.due_at = view.started_at + SUMMARY_INTERVAL_S
@@ -32,6 +34,7 @@
             return
         self.due_at = now + SUMMARY_INTERVAL_S
         self.summarize_gossip()
+        self.count_histories()
         self.summarize_beliefs()
         self.summarize_rate_limits()
         for service, allowance in self.view.allowances.items():
@@ -53,6 +56,14 @@
         self.metrics.gossip_bytes.set({"direction": "received"}, received.size)
         self.metrics.replica_differences.set({}, self.gossip.agreement.found)
 
+    def count_histories(self):
+        """Set the metrics about the histories of the store."""
+        news = self.view.news
+        self.metrics.store_era.set({}, self.view.replica.revision.era)
+        self.metrics.store_histories.set({}, news.histories_entered)
+        self.metrics.kept_states.set({}, len(news.kept.by_key))
+        self.metrics.unreadable_eras.set({}, self.store.unreadable_eras)
+
     def summarize_beliefs(self):
         """Log how many targets are thought to be gray, and the changes of that."""
         changes = self.view.belief_changes
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import time
 
 import click
@@ -18,6 +19,7 @@
 MODES = ("ok", "busy", "silent", "reset", "many")
 BUSY_STATUS = {"busy": 503, "many": 429}
 SILENCE_S = 60.0
+LATE_S = (0.2, 0.9)
 # A value of 1 MiB takes a third more in base64.
 MAX_REQUEST_BYTES = 2 * 1024 * 1024
 
@@ -32,6 +34,10 @@
         # Addresses that meet the fault; empty means all.
         self.refused = []
         self.calls = {}
+        # Shares of the answers that are late, or lost on their way.
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.rng = random.Random(1)
         self.era = 1
         self.kept = None
         self.is_away = False
@@ -68,7 +74,9 @@
             request.transport.abort()
             return web.Response()
         if self.mode == "ok" or (self.refused and request.remote not in self.refused):
-            return await handler(request)
+            response = await handler(request)
+            await self.delay(request)
+            return response
         if self.mode in BUSY_STATUS:
             return web.json_response({}, status=BUSY_STATUS[self.mode])
         if self.mode == "silent":
@@ -76,6 +84,13 @@
         request.transport.abort()
         return web.Response()
 
+    async def delay(self, request):
+        """Let an answer be late or get lost on its way, as chance has it."""
+        if self.rng.random() < self.late_share:
+            await asyncio.sleep(self.rng.uniform(*LATE_S))
+        if self.rng.random() < self.lost_share:
+            request.transport.abort()
+
     async def get_key(self, request):
         """Answer one item."""
         key = request.query["key"]
@@ -172,6 +187,8 @@
         """Switch faults, forget the history or end leases."""
         body = await request.json()
         self.mode = body.get("mode", self.mode)
+        self.late_share = body.get("late_share", self.late_share)
+        self.lost_share = body.get("lost_share", self.lost_share)
         self.refused = body.get("refused", self.refused)
         if body.get("compact"):
             self.store.compact()
