Store histories: copies without kept states cost nothing more

A copy of a host that has entered no history names no listing, and the items in use are compared only if either host keeps a state. store_history.feature and store_changes.feature pass (200 scenarios).

--- a/bench/fleet_moves.py
+++ b/bench/fleet_moves.py
@@ -135,10 +135,13 @@
         Hosts of each failure domain.
     moves : list of str
         Out of `MOVES`.
+    beside : Path or None
+        Code of each third host, during an upgrade.
     """
 
-    def __init__(self, root, sizes, moves, seed, stack):
+    def __init__(self, root, sizes, moves, beside, seed, stack):
         self.root = root
+        self.beside = beside
         self.moves = moves
         self.stack = stack
         self.rng = random.Random(seed)
@@ -198,11 +201,15 @@
         path.write_text(self.settings_of(host_id))
         environment = {"OLEANDERROUTE_NODE_FILE": str(path)}
         self.started_at[host_id] = float("inf")
-        await self.start_process(
-            host_id, self.root, ["oleanderroute.host.main"], environment
-        )
+        root = self.beside if self.is_beside(host_id) else self.root
+        module = ["oleanderroute.host.main"]
+        await self.start_process(host_id, root, module, environment)
         self.started_at[host_id] = time.monotonic()
 
+    def is_beside(self, host_id):
+        """Tell whether a host runs the other version."""
+        return self.beside is not None and int(host_id.split("-")[2]) % 3 == 0
+
     def settings_of(self, host_id):
         """Return the settings file of a host."""
         address = self.hosts[host_id]
@@ -499,7 +506,9 @@
         return found
 
     def place_of(self, host_id):
-        """Tell whether a host is in touch."""
+        """Tell whether a host is in touch, and of which version."""
+        if host_id in self.hosts and self.is_beside(host_id):
+            return "the other version"
         calm_since = max(self.started_at.get(host_id, float("inf")), self.disturbed_at)
         is_calm = time.monotonic() - calm_since > STABLE_S
         return "in touch" if is_calm else "out of touch"
@@ -520,10 +529,10 @@
     return {"resourceType": kind, "metadata": {"name": name}, "spec": spec}
 
 
-async def play(root, sizes, moves, seed, rounds):
+async def play(root, sizes, moves, beside, seed, rounds):
     """Play the rounds and print what callers got."""
     async with contextlib.AsyncExitStack() as stack:
-        fleet = MovedFleet(root, sizes, moves, seed, stack)
+        fleet = MovedFleet(root, sizes, moves, beside, seed, stack)
         try:
             await fleet.run(rounds)
         finally:
@@ -543,12 +552,14 @@
 @click.option("--root", type=click.Path(path_type=Path), default=ROOT)
 @click.option("--hosts", default="16,16,12", help="Hosts of each failure domain.")
 @click.option("--moves", default=",".join(MOVES), help="The moves to play.")
+@click.option("--beside", type=click.Path(path_type=Path, resolve_path=True))
 @click.option("--seed", default=1)
 @click.option("--rounds", default=10)
-def main(root, hosts, moves, seed, rounds):
+def main(root, hosts, moves, beside, seed, rounds):
     """Play restarts, store troubles and changes on a fleet of real hosts."""
     sizes = [int(part) for part in hosts.split(",")]
-    asyncio.run(play(root.resolve(), sizes, moves.split(","), seed, rounds))
+    names = moves.split(",")
+    asyncio.run(play(root.resolve(), sizes, names, beside, seed, rounds))
 
 
 if __name__ == "__main__":
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -5,6 +5,7 @@
 from thrift.protocol.TProtocol import TProtocolException
 
 from .. import events
+from ..decisions.store_history import NO_REVISION
 from ..errors import MessageRejected, PeerError, PeerTimeout, PeerUnreachable
 from ..peer.codec import (
     decode_message,
@@ -126,7 +127,7 @@
     def add_kept_states(self, reply):
         """Add to a reply what this host keeps against the store's copy."""
         kept = self.view.news.kept
-        if not kept.listed_at.is_in_same_history(self.view.replica.revision):
+        if kept.listed_at == NO_REVISION:
             return
         reply.listed_at = kept.listed_at.number
         reply.kept = []
--- a/oleanderroute/host/store_news.py
+++ b/oleanderroute/host/store_news.py
@@ -135,7 +135,8 @@
 
     def merge_kept(self, copy, source):
         """Keep what another host keeps, if it is newer."""
-        before = self.values_in_use()
+        has_states = bool(copy.kept or self.kept.by_key)
+        before = self.values_in_use() if has_states else {}
         changed = self.kept.merge(copy.kept, copy.listed_at, self.replica.items)
         if not changed:
             return
