Store histories: a host that starts after a drill serves nothing older

What callers would get: a host that started between the return of the store and the second writing had the copy's configuration in force until it had heard other hosts, 0.1 to 0.3 s.

Cause: the first listing was in force before other hosts were asked for what they keep, and those that had not noticed the return yet answered with nothing, as they were asked for what follows a revision of a later history.

Change: with a store that names eras, a starting host asks up to three others, seeds or listed ones, after it has read the store and before it uses it, for at most 0.3 s. A host of an earlier history answers with all that it knows; its states count as known from that history, and a target that it lacks, though its entry in the copy is older, as gone. Without eras a start is as before.

Test: the fleets in virtual time check the version in force each 10 ms from a host's start on.

--- a/bench/fleet_moves.py
+++ b/bench/fleet_moves.py
@@ -37,6 +37,8 @@
 RESTART_S = (0.05, 0.6)
 ROUND_S = 7.0
 WRITTEN_AGAIN_S = (0.3, 1.2)
+# Three heartbeats of a target, after which its entry lapses.
+LAPSE_S = 4.5
 REFUSAL_STATUSES = range(400, 405)
 MOVES = ("one", "some", "domain", "all", "hubs", "late", "lost", "compact", "drill")
 
@@ -427,9 +429,17 @@
         for target_id, entry in self.targets.entries.items():
             jobs.append(self.write_again(f"servers/{target_id}", entry))
         await asyncio.gather(*jobs)
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(LAPSE_S)
         calls = await self.count_calls() - before
-        print(f"  away {away_s:.1f} s; {calls} calls in about 5 s after its return")
+        print(f"  away {away_s:.1f} s; {calls} calls in about 6 s after its return")
+        await self.let_entries_lapse()
+
+    async def let_entries_lapse(self):
+        """Remove the entries of targets that had left, which the copy brought back."""
+        answer = await self.call_store("GET", "/kv-range?prefix=servers/")
+        for item in answer["items"]:
+            if item["key"].removeprefix("servers/") not in self.targets.entries:
+                await self.remove(item["key"])
 
     async def write_again(self, key, document):
         """Write what was lost, at a time of its own."""
--- a/features/steps/store_history_steps.py
+++ b/features/steps/store_history_steps.py
@@ -531,6 +531,12 @@
     assert not cases, cases
 
 
+@then("store history: no host served an older version, also not right after its start")
+def step_not_reverted(context):
+    reverted = context.waves.reverted
+    assert not reverted, (len(reverted), reverted[:3])
+
+
 @then("store history: all hosts know the store and keep nothing")
 def step_all_know(context):
     fleet = context.waves.fleet
--- a/features/store_history.feature
+++ b/features/store_history.feature
@@ -152,6 +152,7 @@
     Given store history: <domains> failure domains of <hosts> hosts, <targets> targets
     When store history: the store <drills>, seed <seed>
     Then store history: no host uses what was replaced 2 s before
+    And store history: no host served an older version, also not right after its start
     And store history: all hosts know the store and keep nothing
     And store history: each appointed host listed once, and another called the store at most <calls> times
 
--- a/features/support/drill_waves.py
+++ b/features/support/drill_waves.py
@@ -7,6 +7,7 @@
 import orjson
 
 from features.support.caller_view import (
+    APPLY_S,
     SAMPLE_INTERVAL_S,
     CallerView,
     ChangeWriter,
@@ -23,6 +24,7 @@
 NEXT_CHANGE_S = 4.0
 JUDGED_S = 8.0
 SETTLE_S = 2.0
+VERSION_CHECK_S = 0.01
 SOME, ALL = 3, 100
 # Drills, hosts that restart beside each, share of the datagrams that are lost, and
 # whether the store refuses some hosts for a while after its return.
@@ -48,6 +50,8 @@
         self.targets = targets
         self.first_state = self.fleet.shared.keep_copy()
         self.restarted = set()
+        # Hosts that served an older version at any time, also right after their start.
+        self.reverted = []
         # How often each host was seen to be appointed to watch after the last drill.
         self.appointed = Counter()
         self.calls = {}
@@ -66,6 +70,7 @@
     async def scenario(self, drills=1, **trouble):
         sampling = asyncio.ensure_future(self.view.sample())
         noting = asyncio.ensure_future(self.note_appointed())
+        checking = asyncio.ensure_future(self.check_versions())
         await asyncio.sleep(STARTED_S)
         await self.writer.write_burst()
         await asyncio.sleep(KNOWN_S)
@@ -74,6 +79,7 @@
         await asyncio.sleep(SETTLE_S)
         sampling.cancel()
         noting.cancel()
+        checking.cancel()
 
     async def drill(
         self,
@@ -119,6 +125,16 @@
                 if membership.is_hub:
                     self.appointed[membership.watcher] += 1
 
+    async def check_versions(self):
+        while True:
+            await asyncio.sleep(VERSION_CHECK_S)
+            now = self.fleet.loop.now
+            due = self.writer.newest_version(now - APPLY_S)
+            for host_id, host in self.fleet.hosts.items():
+                found = host.view.configuration
+                if found is not None and found.version < due:
+                    self.reverted.append((round(now, 2), host_id, found.version, due))
+
     def is_appointed_long(self, host_id):
         """Tell whether a host watched for the others for a second or more."""
         return self.appointed[host_id] * SAMPLE_INTERVAL_S >= 1.0
--- a/oleanderroute/decisions/store_history.py
+++ b/oleanderroute/decisions/store_history.py
@@ -41,6 +41,14 @@
         """Tell whether this revision is later than another of the same history."""
         return self.era == other.era and self.number > other.number
 
+    def was_followed_at(self, earlier):
+        """Tell whether a replica at an earlier revision has followed this change.
+
+        Valid for a change that the copy of the later history holds: the histories have
+        all changes up to that copy in common.
+        """
+        return self.number <= earlier.number
+
     def is_copied_from(self, other):
         """Tell whether the change of ``other`` is in the copy that this one is from.
 
--- a/oleanderroute/host/copies.py
+++ b/oleanderroute/host/copies.py
@@ -100,7 +100,9 @@
         """Return the changes that the requester lacks, or all items."""
         replica = self.view.replica
         after = revision_from_wire(request.era, request.after_revision)
-        items = replica.changes_after(after)
+        items = None
+        if after.is_in_same_history(replica.revision):
+            items = replica.changes_after(after)
         is_complete = items is None
         if is_complete:
             items = list(replica.items.values())
--- a/oleanderroute/host/follower.py
+++ b/oleanderroute/host/follower.py
@@ -6,6 +6,7 @@
 from ..decisions.link_budget import BYTES_PER_MBIT
 from ..decisions.store_history import NO_REVISION, UNNAMED_ERA
 from ..errors import (
+    DocumentError,
     HistoryLost,
     HistoryReplaced,
     LeaseUnknown,
@@ -50,8 +51,8 @@
 # time and a random part of the second one, if none of them could.
 LATER_HISTORY_WAIT_S = 0.6
 LATER_HISTORY_SPREAD_S = 1.0
-# A host that starts asks others for what they keep against the store's copy.
-KEPT_STATES_TIMEOUT_S = 0.3
+# A host that starts asks others for what they know beyond the store's copy.
+KNOWN_STATES_TIMEOUT_S = 0.3
 MAX_ASKED_HOSTS = 3
 # Hosts that lost their registrations together take at most this share of the store's
 # writes.
@@ -129,16 +130,31 @@
             if self.view.replica.revision > NO_REVISION:
                 # The store has no configuration yet.
                 await self.watch_once()
-            elif await self.load_from_store() is None:
+            elif not await self.load_first():
                 await self.load_from_seeds()
                 if not self.is_loaded.is_set():
                     await self.sleep_before_retry()
-            else:
-                await self.load_kept_states()
             self.finish_load("store")
 
+    async def load_first(self):
+        """Read all items for the first time; return whether the store answered."""
+        pages = await self.read_pages()
+        if pages is None:
+            return False
+        copy = None
+        if pages[0].revision.era > UNNAMED_ERA:
+            # The store may have come back from an older copy.
+            copy = await self.fetch_known_states(pages)
+        self.apply_pages(pages, copy)
+        return True
+
     async def load_from_store(self):
         """Read all items; return the changes, or None if it failed."""
+        pages = await self.read_pages()
+        return None if pages is None else self.apply_pages(pages)
+
+    async def read_pages(self):
+        """Return a page for each prefix that hosts read, or None if it failed."""
         formats = self.formats
         prefixes = (
             formats.CONFIGURATION_KEY,
@@ -151,9 +167,22 @@
         try:
             pages = await asyncio.gather(*reads)
             check_one_history(pages)
+            for prefix, page in zip(prefixes, pages, strict=True):
+                page.prefix = prefix
         except StoreError as error:
             self.record_store_failure(error)
             return None
+        self.record_store_success()
+        return pages
+
+    def apply_pages(self, pages, copy=None):
+        """Apply pages of all prefixes and return the changes.
+
+        Parameters
+        ----------
+        copy : StoreCopy, optional
+            What another host knows, of this history or an earlier one.
+        """
         view = self.view
         # Pages that are read one after the other are complete at the lowest revision.
         revision = min(page.revision for page in pages)
@@ -162,12 +191,13 @@
             items = []
             for page in pages:
                 items += page.items
-            changes = view.news.enter_history(items, revision)
+            changes = view.news.enter_history(items, revision, copy=copy)
         else:
-            for prefix, page in zip(prefixes, pages, strict=True):
-                changes += view.news.apply_listing(prefix, page.items, page.revision)
+            for page in pages:
+                changes += view.news.apply_listing(
+                    page.prefix, page.items, page.revision
+                )
         view.replica.advance(revision)
-        self.record_store_success()
         return changes
 
     async def load_from_seeds(self):
@@ -184,31 +214,49 @@
                 self.finish_load("host")
                 return
 
-    async def load_kept_states(self):
-        """Ask other hosts what they keep against the copy that the store came from.
+    async def fetch_known_states(self, pages):
+        """Return a copy of the first host that answers, or None.
 
-        Without it, a host that starts after the store came back would use the older
-        states of the copy.
+        A host that starts after the store came back would otherwise use older states.
         """
-        if self.view.replica.revision.era == UNNAMED_ERA:
-            return
-        own_id = self.settings.host_id
-        others = [host for host in self.view.hosts.values() if host.host_id != own_id]
-        self.rng.shuffle(others)
         asked = []
-        for host in others[:MAX_ASKED_HOSTS]:
-            fetch = self.fetch_from(host.address, host.control_port)
+        for address, port in self.choose_others(pages):
+            fetch = fetch_copy(
+                address, port, self.settings.host_id, self.view, self.clock
+            )
             asked.append(asyncio.ensure_future(fetch))
         try:
-            async with asyncio.timeout(KEPT_STATES_TIMEOUT_S):
+            async with asyncio.timeout(KNOWN_STATES_TIMEOUT_S):
                 for answered in asyncio.as_completed(asked):
-                    if await answered:
-                        return
+                    try:
+                        return await answered
+                    except PeerError:
+                        # ``fetch_copy`` has logged the reason.
+                        continue
         except TimeoutError:
             pass
         finally:
             for fetch in asked:
                 fetch.cancel()
+            await asyncio.gather(*asked, return_exceptions=True)
+        return None
+
+    def choose_others(self, pages):
+        """Return the addresses of some other hosts: seeds, or listed in pages."""
+        settings = self.settings
+        places = set(settings.seeds)
+        for page in pages:
+            for item in page.items:
+                if not item.key.startswith(self.formats.HOST_PREFIX):
+                    continue
+                try:
+                    host = self.formats.decode_host(item.key, item.value)
+                except DocumentError:
+                    # Logged when the item is applied.
+                    continue
+                places.add((host.address, host.control_port))
+        places.discard((settings.address, settings.control_port))
+        return self.rng.sample(sorted(places), min(MAX_ASKED_HOSTS, len(places)))
 
     def finish_load(self, source):
         """Mark the first copy as loaded once a configuration is in force."""
--- a/oleanderroute/host/model.py
+++ b/oleanderroute/host/model.py
@@ -261,7 +261,14 @@
 
 @dataclass(slots=True)
 class ItemPage:
-    """Items and the store's revision when they were read."""
+    """Items and the store's revision when they were read.
+
+    Attributes
+    ----------
+    prefix : str
+        Of the keys that were read.
+    """
 
     items: list[StoreItem] = field(default_factory=list)
     revision: StoreRevision = NO_REVISION
+    prefix: str = ""
--- a/oleanderroute/host/store_news.py
+++ b/oleanderroute/host/store_news.py
@@ -92,6 +92,7 @@
         """Apply a ``StoreCopy`` of another host and advance the replica."""
         replica = self.replica
         if replica.revision.is_in_later_history(copy.revision):
+            self.merge_kept(copy, source)
             return
         if copy.revision.is_in_later_history(replica.revision):
             if not copy.is_complete:
@@ -118,7 +119,7 @@
         self.kept.enter_history(self.replica, listing, revision)
         self.replica.enter_history(items, revision)
         if copy is not None:
-            self.kept.merge(copy.kept, copy.listed_at, self.replica.items)
+            self.merge_copy(copy, revision)
         if earlier > NO_REVISION:
             self.histories_entered += 1
             self.view.store_recovered_at = self.view.clock.now()
@@ -135,9 +136,10 @@
 
     def merge_kept(self, copy, source):
         """Keep what another host keeps, if it is newer."""
-        has_states = bool(copy.kept or self.kept.by_key)
+        is_earlier = self.replica.revision.is_in_later_history(copy.revision)
+        has_states = bool(copy.kept or self.kept.by_key or is_earlier)
         before = self.values_in_use() if has_states else {}
-        changed = self.kept.merge(copy.kept, copy.listed_at, self.replica.items)
+        changed = self.merge_copy(copy, self.replica.revision)
         if not changed:
             return
         events.KEPT_STATES_CHANGED.log(
@@ -147,6 +149,44 @@
         )
         self.use_changed(before, source)
 
+    def merge_copy(self, copy, revision):
+        """Merge what another host keeps or, in an earlier history, knows.
+
+        Returns
+        -------
+        set of str
+            The keys whose kept state has changed.
+        """
+        states = copy.kept
+        if copy.is_complete and revision.is_in_later_history(copy.revision):
+            states = states + self.states_of_earlier(copy)
+        return self.kept.merge(states, copy.listed_at, self.replica.items)
+
+    def states_of_earlier(self, copy):
+        """Return the states that a complete copy of an earlier history tells of.
+
+        It lacks a key that the store's copy holds only if the key was removed later,
+        as its sender has followed all changes up to the copy's revision.
+        """
+        states = []
+        kept_keys = {state.key for state in copy.kept}
+        for item in copy.items:
+            if item.key in kept_keys:
+                continue
+            state = self.kept.make_state(item.key, item.revision, item.value, False)
+            if state is not None:
+                states.append(state)
+        known_keys = kept_keys | {item.key for item in copy.items}
+        for item in self.replica.items.values():
+            if item.key in known_keys:
+                continue
+            if not item.revision.was_followed_at(copy.revision):
+                continue
+            state = self.kept.make_state(item.key, copy.revision, item.value, True)
+            if state is not None:
+                states.append(state)
+        return states
+
     def values_in_use(self):
         """Return the item in use of each key: that of the replica, or the kept one."""
         found = dict(self.replica.items)
